--- /dev/null
+++ b/src/core/election.c
@@ -0,0 +1,259 @@
+/*
+ * Leadership: one key under a lease. Its revision is the token; every deciding transaction guards
+ * on it, so an early take-over wastes work but breaks nothing.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/state.h"
+#include "util/log.h"
+#include "wire/names.h"
+
+json_t *election_value(const struct core *c)
+{
+	return json_pack("{s:s}", "name", c->conf->name);
+}
+
+bool election_stale(const struct core *c, const struct call *call)
+{
+	return call->term != c->el.term || c->el.role == ROLE_FOLLOW;
+}
+
+void election_reread(struct core *c)
+{
+	c->el.known = false;
+	if (c->el.next_try < c->now)
+		c->el.next_try = c->now;
+}
+
+void election_step_down(struct core *c, const char *why)
+{
+	if (c->el.role == ROLE_FOLLOW)
+		return;
+	log_info("step_down", "reason=%s", why);
+	c->el.role = ROLE_FOLLOW;
+	c->el.term++;
+	c->el.lease = 0;
+	c->el.token = 0;
+	c->el.renew_out = false;
+	log_token(0);
+	leader_clear(c);
+	election_reread(c);
+}
+
+static void on_nothing(struct core *c, struct call *call, int status, const char *body, size_t len)
+{
+	(void)c;
+	(void)call;
+	(void)status;
+	(void)body;
+	(void)len;
+}
+
+/* Gives the lease back, so that another controller need not wait for its end. */
+void election_yield(struct core *c, const char *why)
+{
+	uint64_t lease = c->el.lease;
+
+	c->el.stand_back = c->now + LEADER_YIELD_S;
+	election_step_down(c, why);
+	if (lease)
+		core_call(c, c->conf->state, "DELETE",
+			  fmt_path(W_PATH_LEASES "/%llu", (unsigned long long)lease), NULL,
+			  CALL_STATE_S, on_nothing, NULL);
+}
+
+/*
+ * A cancellation that another controller acknowledges after our last word from the state service
+ * must be carried out in time: from the last moment we answer, a worker lives on for its lease.
+ */
+bool election_may_serve(const struct core *c)
+{
+	const struct conf *f = c->conf;
+	double span = (f->cancel_s - f->lease_s * (1 + CLOCK_DRIFT)) * (1 - CLOCK_DRIFT) -
+		      CANCEL_MARGIN_S;
+
+	return c->el.role == ROLE_LEAD && c->now - c->el.renewed < span;
+}
+
+static void heard_leader(struct core *c, const struct kv_item *it)
+{
+	const char *name = it->value ? json_string_value(json_object_get(it->value, "name")) : NULL;
+
+	c->el.revision = it->value ? it->version : 0;
+	snprintf(c->el.leader, sizeof(c->el.leader), "%s", name ? name : "");
+	/* Our own name while we do not lead: a process that is no more, or a term given up. */
+	if (c->el.role == ROLE_FOLLOW && !c->el.claiming && !strcmp(c->el.leader, c->conf->name))
+		c->el.leader[0] = 0;
+	log_debug("leader", "name=%s revision=%llu", c->el.leader,
+		  (unsigned long long)c->el.revision);
+	if (c->el.role != ROLE_FOLLOW && c->el.revision != c->el.token &&
+	    !(c->flying && c->flight.fence))
+		election_step_down(c, "key_taken");
+}
+
+static void on_read(struct core *c, struct call *call, int status, const char *body, size_t len)
+{
+	json_t *o;
+	struct kv_item it = {0};
+
+	(void)call;
+	c->el.reading = false;
+	store_heard(c, status);
+	c->el.next_try = c->now + LEADER_REREAD_S;
+	if (status != 200 && status != 404)
+		return;
+	o = wire_parse(body, len);
+	if (status == 404) {
+		it.version = 0;
+		c->el.watched = wire_revision(o);
+	} else if (wire_kv(o, &it)) {
+		json_decref(o);
+		return;
+	} else {
+		c->el.watched = it.version;
+	}
+	c->el.known = true;
+	heard_leader(c, &it);
+	json_decref(o);
+}
+
+static void watch_item(void *ctx, const struct kv_item *it)
+{
+	struct core *c = ctx;
+
+	if (strcmp(it->key, LEADER_KEY))
+		return;
+	/* News from before our own write: the watch may lag behind the answers. */
+	if (c->el.role != ROLE_FOLLOW && it->version <= c->el.token)
+		return;
+	heard_leader(c, it);
+}
+
+static void on_watch(struct core *c, struct call *call, int status, const char *body, size_t len)
+{
+	json_t *o;
+
+	(void)call;
+	c->el.watching = false;
+	if (status != 200) {
+		if (status > 0 && status != 410)
+			store_heard(c, status);
+		c->el.known = false;
+		c->el.next_try = c->now + LEADER_REREAD_S;
+		return;
+	}
+	store_heard(c, status);
+	o = wire_parse(body, len);
+	if (wire_revision(o) > c->el.watched)
+		c->el.watched = wire_revision(o);
+	wire_items(o, watch_item, c);
+	json_decref(o);
+}
+
+static void on_claim(struct core *c, struct call *call, int status, const char *body, size_t len)
+{
+	json_t *o;
+
+	c->el.claiming = false;
+	store_heard(c, status);
+	if (status != 200 || call->term != c->el.term) {
+		log_debug("claim_failed", "status=%d", status);
+		c->el.lease = 0;
+		c->el.known = false;
+		c->el.next_try = c->now + LEADER_REREAD_S;
+		return;
+	}
+	o = wire_parse(body, len);
+	c->el.token = wire_revision(o);
+	json_decref(o);
+	c->el.revision = c->el.token;
+	snprintf(c->el.leader, sizeof(c->el.leader), "%s", c->conf->name);
+	c->el.role = ROLE_LOADING;
+	c->el.term++;
+	log_token(c->el.token);
+	log_info("lead", "state=loading");
+	load_start(c);
+}
+
+static void on_lease(struct core *c, struct call *call, int status, const char *body, size_t len)
+{
+	struct txn t;
+	json_t *o;
+
+	store_heard(c, status);
+	if (status != 200 || call->term != c->el.term) {
+		c->el.claiming = false;
+		c->el.next_try = c->now + LEADER_REREAD_S;
+		return;
+	}
+	o = wire_parse(body, len);
+	c->el.lease = wire_lease(o);
+	json_decref(o);
+	c->el.renewed = call->sent;
+	c->el.next_renew = call->sent + LEADER_RENEW_S;
+	txn_begin(&t);
+	txn_guard(&t, LEADER_KEY, c->el.revision);
+	txn_put(&t, LEADER_KEY, election_value(c), c->el.lease);
+	store_commit(c, txn_finish(&t), on_claim, NULL);
+}
+
+static void on_renew(struct core *c, struct call *call, int status, const char *body, size_t len)
+{
+	(void)body;
+	(void)len;
+	if (call->term != c->el.term)
+		return;
+	c->el.renew_out = false;
+	store_heard(c, status);
+	if (status == 200) {
+		c->el.renewed = call->sent;
+		c->el.next_renew = call->sent + LEADER_RENEW_S;
+	} else if (status == 404) {
+		election_step_down(c, "lease_ended");
+	} else {
+		c->el.next_renew = c->now + LEADER_RETRY_S;
+	}
+}
+
+static void renew(struct core *c)
+{
+	if (c->el.renew_out || c->now < c->el.next_renew || !c->el.lease)
+		return;
+	c->el.renew_out = true;
+	core_call(c, c->conf->state, "POST",
+		  fmt_path(W_PATH_LEASES "/%llu" W_PATH_RENEW, (unsigned long long)c->el.lease),
+		  strdup("{}"), CALL_STATE_S, on_renew, NULL);
+}
+
+static void claim(struct core *c)
+{
+	c->el.claiming = true;
+	core_call(c, c->conf->state, "POST", fmt_path(W_PATH_LEASES),
+		  wire_lease_body(LEADER_TTL_MS), CALL_STATE_S, on_lease, NULL);
+}
+
+void election_tick(struct core *c)
+{
+	struct election *e = &c->el;
+
+	if (!e->known) {
+		if (!e->reading && c->now >= e->next_try) {
+			e->reading = true;
+			store_get(c, LEADER_KEY, on_read, NULL);
+		}
+	} else if (!e->watching) {
+		e->watching = true;
+		store_watch(c, LEADER_KEY, e->watched, LEADER_WATCH_MS, on_watch, NULL);
+	}
+	if (e->role != ROLE_FOLLOW) {
+		renew(c);
+		if (e->role == ROLE_LEAD && !election_may_serve(c))
+			election_step_down(c, "state_unreachable");
+		return;
+	}
+	if (e->known && !*e->leader && !e->claiming && c->now >= e->next_try &&
+	    c->now >= e->stand_back)
+		claim(c);
+}
--- /dev/null
+++ b/src/core/jobs.c
@@ -0,0 +1,309 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/state.h"
+#include "util/log.h"
+
+bool job_bit(const uint8_t *bits, uint32_t task)
+{
+	return bits[task / 8] >> (task % 8) & 1;
+}
+
+static void bit_set(uint8_t *bits, uint32_t task, bool on)
+{
+	if (on)
+		bits[task / 8] |= (uint8_t)(1u << (task % 8));
+	else
+		bits[task / 8] &= (uint8_t) ~(1u << (task % 8));
+}
+
+uint32_t job_chunks(const struct job *j)
+{
+	return (j->spec.ntasks + DONE_CHUNK_TASKS - 1) / DONE_CHUNK_TASKS;
+}
+
+struct job *job_find(struct core *c, const char *id)
+{
+	struct job *j;
+
+	HASH_FIND_STR(c->jobs, id, j);
+	return j;
+}
+
+struct job *job_add(struct core *c, const struct job_spec *spec)
+{
+	struct job *j = calloc(1, sizeof(*j));
+	size_t bytes = (spec->ntasks + 7) / 8 + 1;
+	uint32_t chunks;
+
+	if (!j)
+		abort();
+	j->spec = *spec;
+	chunks = job_chunks(j);
+	j->done = calloc(1, bytes);
+	j->bound = calloc(1, bytes);
+	j->done_version = calloc(chunks, sizeof(*j->done_version));
+	j->done_dirty = calloc(chunks, 1);
+	j->done_flying = calloc(chunks, 1);
+	if (!j->done || !j->bound || !j->done_version || !j->done_dirty || !j->done_flying)
+		abort();
+	j->waiting_since = c->now;
+	HASH_ADD_STR(c->jobs, spec.id, j);
+	return j;
+}
+
+void job_free(struct core *c, struct job *j)
+{
+	HASH_DEL(c->jobs, j);
+	free(j->done);
+	free(j->bound);
+	free(j->done_version);
+	free(j->done_dirty);
+	free(j->done_flying);
+	free(j);
+}
+
+uint32_t job_waiting(const struct job *j)
+{
+	uint32_t busy = j->ndone + j->nbound;
+
+	if (j->cancelled || j->ghost || j->final_queued || busy >= j->spec.ntasks)
+		return 0;
+	return j->spec.ntasks - busy;
+}
+
+/* The first task that is neither done nor bound; ntasks if there is none. */
+uint32_t job_next_waiting(struct job *j)
+{
+	uint32_t t = j->next_task;
+
+	while (t < j->spec.ntasks && (job_bit(j->done, t) || job_bit(j->bound, t)))
+		t++;
+	j->next_task = t;
+	return t;
+}
+
+void job_task_done(struct core *c, struct job *j, uint32_t task)
+{
+	if (j->ghost || task >= j->spec.ntasks || job_bit(j->done, task))
+		return;
+	bit_set(j->done, task, true);
+	j->ndone++;
+	log_debug("task_done", "job=%s task=%u done=%u of=%u", j->spec.id, task, j->ndone,
+		  j->spec.ntasks);
+	if (j->ndone < j->spec.ntasks)
+		commit_done(c, j, task / DONE_CHUNK_TASKS);
+}
+
+/* Looks whether the job is over; call after anything that ends a task or a binding. */
+void job_settle(struct core *c, struct job *j)
+{
+	if (!j->bindings && j->gang_stopping)
+		j->gang_stopping = false;
+	if (j->final_queued || j->ghost)
+		return;
+	if (j->cancelled ? !j->bindings : j->ndone == j->spec.ntasks)
+		commit_final(c, j);
+}
+
+void job_cancel(struct core *c, struct job *j)
+{
+	struct binding *b, *tmp;
+
+	if (j->cancelled || j->ghost)
+		return;
+	j->cancelled = true;
+	log_info("job_cancelled", "job=%s bound=%u", j->spec.id, j->nbound);
+	DL_FOREACH_SAFE2(j->bindings, b, tmp, jnext)
+	{
+		/* A start that never left needs no proof of its end. */
+		if (!b->loaded && !b->sent_session && !b->beat_seq)
+			binding_end(c, b, WHY_STOPPED);
+		else
+			binding_stop(c, b, 0);
+	}
+	job_settle(c, j);
+}
+
+void job_failed_on(struct core *c, struct job *j, struct machine *m)
+{
+	double wait = ERROR_BACKOFF_S;
+
+	for (int i = 0; i < j->errors && wait < ERROR_BACKOFF_MAX_S; i++)
+		wait *= 2;
+	if (wait > ERROR_BACKOFF_MAX_S)
+		wait = ERROR_BACKOFF_MAX_S;
+	/* The first failure is mostly the machine's: try elsewhere at once. */
+	j->not_before = c->now + (j->errors ? wait : 0);
+	j->errors++;
+	snprintf(j->bad[j->nbad % ERROR_JOB_MACHINES], ID_MAX, "%s", m->id);
+	j->nbad++;
+}
+
+static void binding_bit(struct binding *b, bool on)
+{
+	struct job *j = b->job;
+	struct binding *o;
+
+	if (b->task >= j->spec.ntasks || job_bit(j->bound, b->task) == on)
+		return;
+	/* Records of an older leader may bind a task twice: it is free when both have ended. */
+	DL_FOREACH2(j->bindings, o, jnext)
+		if (!on && o != b && o->task == b->task)
+			return;
+	bit_set(j->bound, b->task, on);
+	j->nbound += on ? 1 : (uint32_t)-1;
+	if (!on && b->task < j->next_task)
+		j->next_task = b->task;
+}
+
+struct binding *binding_add(struct core *c, struct machine *m, struct job *j, uint32_t task,
+			    uint64_t attempt)
+{
+	struct binding *b = calloc(1, sizeof(*b));
+
+	if (!b)
+		abort();
+	b->machine = m;
+	b->job = j;
+	b->task = task;
+	b->attempt = attempt;
+	b->floor_token = c->el.token;
+	b->placed_at = c->now;
+	DL_APPEND2(m->bindings, b, mprev, mnext);
+	DL_APPEND2(j->bindings, b, jprev, jnext);
+	m->nbindings++;
+	m->cpus -= j->spec.cpus;
+	m->gpus -= j->spec.gpus;
+	m->mem_gb -= j->spec.mem_gb;
+	binding_bit(b, true);
+	team_charge(c, &j->spec, 1);
+	return b;
+}
+
+void binding_stop(struct core *c, struct binding *b, double grace_s)
+{
+	if (b->stopping && grace_s >= b->grace_s)
+		return;
+	b->stopping = true;
+	b->grace_s = grace_s;
+	b->stop_at = 0;
+	workers_kick(c, b->machine);
+}
+
+/* A gang that lost a task stops as a whole; its other tasks would notice by themselves, later. */
+static void gang_lost(struct core *c, struct job *j, enum task_why why)
+{
+	struct binding *b;
+
+	if (j->ndone)
+		return;
+	j->gang_stopping = true;
+	DL_FOREACH2(j->bindings, b, jnext)
+	{
+		/* An orderly stop under way must not be cut short: the others are saving. */
+		if (why != WHY_STOPPED || !b->stopping)
+			binding_stop(c, b, 0);
+	}
+}
+
+static void machine_blamed(struct core *c, struct machine *m, const struct job *j)
+{
+	for (int i = 0; i < m->nfailed_jobs; i++)
+		if (!strcmp(m->failed_jobs[i], j->spec.id))
+			return;
+	/* A job that failed elsewhere too is its owner's mistake, not this machine's. */
+	if (j->nbad > 1)
+		return;
+	if (m->nfailed_jobs < MACHINE_FAULT_JOBS)
+		snprintf(m->failed_jobs[m->nfailed_jobs++], ID_MAX, "%s", j->spec.id);
+	if (m->nfailed_jobs == MACHINE_FAULT_JOBS && !m->draining) {
+		m->draining = true;
+		log_info("machine_faulty", "machine=%s jobs=%d", m->id, m->nfailed_jobs);
+	}
+	(void)c;
+}
+
+static void binding_account(struct core *c, struct binding *b, enum task_why why)
+{
+	struct job *j = b->job;
+
+	if (why == WHY_DONE) {
+		b->machine->nfailed_jobs = 0;
+		j->errors = 0;
+		if (j->spec.kind == JOB_GANG)
+			for (uint32_t t = 0; t < j->spec.ntasks; t++)
+				job_task_done(c, j, t);
+		else
+			job_task_done(c, j, b->task);
+	} else if (why == WHY_ERROR) {
+		job_failed_on(c, j, b->machine);
+		machine_blamed(c, b->machine, j);
+	} else if (why == WHY_NO_ROOM || why == WHY_BUSY || why == WHY_UNKNOWN) {
+		j->not_before = c->now + REFUSED_BACKOFF_S;
+		if (why != WHY_UNKNOWN)
+			b->machine->no_place_until = c->now + REFUSED_BACKOFF_S;
+	}
+}
+
+/* Takes the binding out of the books, whatever the reason. */
+void binding_drop(struct core *c, struct binding *b)
+{
+	struct machine *m = b->machine;
+	struct job *j = b->job;
+
+	if (b->running_since > 0)
+		j->nrunning--;
+	binding_bit(b, false);
+	team_charge(c, &j->spec, -1);
+	DL_DELETE2(m->bindings, b, mprev, mnext);
+	DL_DELETE2(j->bindings, b, jprev, jnext);
+	m->nbindings--;
+	m->cpus += j->spec.cpus;
+	m->gpus += j->spec.gpus;
+	m->mem_gb += j->spec.mem_gb;
+	if (!m->nbindings)
+		m->idle_since = c->now;
+	free(b);
+	commit_machine(c, m);
+}
+
+/* The end of a binding, proved. The record follows in the next transaction. */
+void binding_end(struct core *c, struct binding *b, enum task_why why)
+{
+	struct machine *m = b->machine;
+	struct job *j = b->job;
+
+	log_info("task_end", "job=%s task=%u attempt=%llu machine=%s why=%d", j->spec.id, b->task,
+		 (unsigned long long)b->attempt, m->id, why);
+	binding_account(c, b, why);
+	binding_drop(c, b);
+	if (j->spec.kind == JOB_GANG && why != WHY_DONE && !j->cancelled)
+		gang_lost(c, j, why);
+	j->waiting_since = c->now;
+	job_settle(c, j);
+	if (j->ghost && !j->bindings)
+		job_free(c, j);
+	round_wanted(c);
+}
+
+/*
+ * A task that is bound here no more, listed as done: the leader before recorded the end of its
+ * binding, and ended before its result was on record. Any other attempt of it is needless.
+ */
+void job_done_unbound(struct core *c, const char *id, uint32_t task)
+{
+	struct job *j = job_find(c, id);
+	struct binding *b;
+
+	if (!j || j->ghost || task >= j->spec.ntasks || job_bit(j->done, task))
+		return;
+	for (uint32_t t = 0; t < j->spec.ntasks; t++)
+		if (t == task || j->spec.kind == JOB_GANG)
+			job_task_done(c, j, t);
+	DL_FOREACH2(j->bindings, b, jnext)
+		if (job_bit(j->done, b->task))
+			binding_stop(c, b, 0);
+	job_settle(c, j);
+}
--- /dev/null
+++ b/src/core/load.c
@@ -0,0 +1,277 @@
+/* Take-over: all records are read before anything is decided; then the jobs' key range is watched. */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/state.h"
+#include "util/log.h"
+
+static const char *const prefixes[] = {"j/", "d/", "m/"};
+#define NPREFIXES (sizeof(prefixes) / sizeof(prefixes[0]))
+
+struct load {
+	size_t at;
+	char last[200];
+	bool first;
+};
+
+void load_job_record(struct core *c, const char *id, json_t *value, uint64_t version)
+{
+	struct job *j = job_find(c, id);
+	struct job_spec spec;
+	const char *why;
+
+	if (!j) {
+		if (wire_job_decode(json_object_get(value, "spec"), &spec, &why)) {
+			log_error("record_unreadable", "job=%s field=%s", id, why);
+			return;
+		}
+		j = job_add(c, &spec);
+		j->submitted = json_number_value(json_object_get(value, "at"));
+	}
+	j->version = version;
+	if (json_is_true(json_object_get(value, "cancelled")))
+		job_cancel(c, j);
+	round_wanted(c);
+}
+
+static void load_done(struct core *c, const char *rest, json_t *value, uint64_t version)
+{
+	const char *slash = strchr(rest, '/');
+	const char *bits = json_string_value(json_object_get(value, "bits"));
+	char id[ID_MAX];
+	struct job *j;
+	uint32_t chunk, first, n;
+
+	if (!slash || (size_t)(slash - rest) >= sizeof(id) || !bits)
+		return;
+	memcpy(id, rest, (size_t)(slash - rest));
+	id[slash - rest] = 0;
+	chunk = (uint32_t)strtoul(slash + 1, NULL, 10);
+	j = job_find(c, id);
+	if (!j || chunk >= job_chunks(j))
+		return;
+	first = chunk * DONE_CHUNK_TASKS;
+	n = j->spec.ntasks - first;
+	bits_decode(bits, j->done + first / 8, n < DONE_CHUNK_TASKS ? n : DONE_CHUNK_TASKS);
+	j->done_version[chunk] = version;
+}
+
+static struct job *ghost(struct core *c, const char *id)
+{
+	struct job_spec spec = {.ntasks = 1, .deadline_s = -1};
+	struct job *j;
+
+	snprintf(spec.id, sizeof(spec.id), "%s", id);
+	j = job_add(c, &spec);
+	j->ghost = true;
+	return j;
+}
+
+static void load_binding(struct core *c, struct machine *m, json_t *e)
+{
+	const char *id = json_string_value(json_array_get(e, 0));
+	struct binding *b;
+	struct job *j;
+
+	if (!id || strlen(id) >= ID_MAX)
+		return;
+	j = job_find(c, id);
+	if (!j)
+		j = ghost(c, id);
+	b = binding_add(c, m, j, (uint32_t)json_integer_value(json_array_get(e, 1)),
+			(uint64_t)json_integer_value(json_array_get(e, 2)));
+	b->loaded = b->committed = true;
+	if (b->attempt > j->attempt)
+		j->attempt = b->attempt;
+}
+
+static const char *text_of(json_t *o, const char *key)
+{
+	const char *s = json_string_value(json_object_get(o, key));
+
+	return s ? s : "";
+}
+
+static void load_machine(struct core *c, const char *id, json_t *value, uint64_t version)
+{
+	struct machine *m;
+	json_t *e;
+	size_t i;
+
+	if (strlen(id) >= ID_MAX)
+		return;
+	m = machine_get(c, id);
+	m->version = version;
+	machine_describe(c, m, text_of(value, "addr"), text_of(value, "type"),
+			 text_of(value, "zone"), json_is_true(json_object_get(value, "spot")));
+	json_array_foreach(json_object_get(value, "bound"), i, e)
+		load_binding(c, m, e);
+}
+
+struct load_ctx {
+	struct core *c;
+	struct load *l;
+};
+
+static void load_item(void *ctx, const struct kv_item *it)
+{
+	struct load_ctx *x = ctx;
+	const char *rest = it->key + 2;
+
+	snprintf(x->l->last, sizeof(x->l->last), "%s", it->key);
+	if (it->key[0] == 'j')
+		load_job_record(x->c, rest, it->value, it->version);
+	else if (it->key[0] == 'd')
+		load_done(x->c, rest, it->value, it->version);
+	else
+		load_machine(x->c, rest, it->value, it->version);
+}
+
+static void load_finish(struct core *c)
+{
+	struct job *j, *tmp;
+	struct machine *m, *mtmp;
+
+	HASH_ITER(hh, c->jobs, j, tmp)
+	{
+		struct binding *b;
+
+		for (uint32_t t = 0; t < j->spec.ntasks; t++)
+			j->ndone += job_bit(j->done, t);
+		/* Part of a gang: the leader before ended between two transactions of one placement. */
+		if (j->spec.kind == JOB_GANG && !j->ghost && j->nbound && j->nbound < j->spec.ntasks) {
+			j->gang_stopping = true;
+			DL_FOREACH2(j->bindings, b, jnext)
+				binding_stop(c, b, 0);
+		}
+		if (j->cancelled)
+			DL_FOREACH2(j->bindings, b, jnext)
+				binding_stop(c, b, 0);
+	}
+	HASH_ITER(hh, c->jobs, j, tmp)
+		job_settle(c, j);
+	c->el.role = ROLE_LEAD;
+	c->lead_since = c->now;
+	c->write_filled = c->now;
+	c->write_tokens = c->conf->state_write_rps * WRITE_SHARE_LEADER;
+	log_info("lead", "state=leading jobs=%u machines=%u", HASH_COUNT(c->jobs),
+		 HASH_COUNT(c->machines));
+	HASH_ITER(hh, c->machines, m, mtmp)
+		workers_ask(c, m);
+	round_wanted(c);
+}
+
+static void on_page(struct core *c, struct call *call, int status, const char *body, size_t len)
+{
+	struct load *l = call->arg;
+	struct load_ctx x = {c, l};
+	json_t *o;
+
+	store_heard(c, status);
+	if (election_stale(c, call)) {
+		free(l);
+		return;
+	}
+	if (status != 200) {
+		store_range(c, prefixes[l->at], l->last, on_page, l);
+		return;
+	}
+	o = wire_parse(body, len);
+	if (l->first)
+		c->jobs_revision = wire_revision(o);
+	l->first = false;
+	wire_items(o, load_item, &x);
+	if (!wire_more(o)) {
+		l->at++;
+		l->last[0] = 0;
+	}
+	json_decref(o);
+	if (l->at < NPREFIXES) {
+		store_range(c, prefixes[l->at], l->last, on_page, l);
+		return;
+	}
+	free(l);
+	load_finish(c);
+}
+
+void load_start(struct core *c)
+{
+	struct load *l = calloc(1, sizeof(*l));
+
+	if (!l)
+		abort();
+	l->first = true;
+	store_range(c, prefixes[0], "", on_page, l);
+}
+
+static void watch_item(void *ctx, const struct kv_item *it)
+{
+	struct core *c = ctx;
+	struct job *j;
+
+	if (strncmp(it->key, "j/", 2) || !it->value)
+		return;
+	j = job_find(c, it->key + 2);
+	if (j && (j->ghost || it->version <= j->version))
+		return;
+	load_job_record(c, it->key + 2, it->value, it->version);
+}
+
+static void on_watch(struct core *c, struct call *call, int status, const char *body, size_t len)
+{
+	json_t *o;
+
+	if (election_stale(c, call))
+		return;
+	c->jobs_watching = false;
+	if (status == 410) {
+		election_step_down(c, "watch_too_old");
+		return;
+	}
+	if (status != 200) {
+		c->jobs_watch_again = c->now + LEADER_REREAD_S;
+		return;
+	}
+	o = wire_parse(body, len);
+	wire_items(o, watch_item, c);
+	if (wire_revision(o) > c->jobs_revision)
+		c->jobs_revision = wire_revision(o);
+	json_decref(o);
+}
+
+void load_tick(struct core *c)
+{
+	if (c->jobs_watching || c->now < c->jobs_watch_again)
+		return;
+	c->jobs_watching = true;
+	store_watch(c, "j/", c->jobs_revision, JOBS_WATCH_MS, on_watch, NULL);
+}
+
+/* All that only a leader knows; what the next one needs is in the records. */
+void leader_clear(struct core *c)
+{
+	struct machine *m, *mtmp;
+	struct job *j, *jtmp;
+
+	commit_clear(c);
+	rent_clear(c);
+	HASH_ITER(hh, c->machines, m, mtmp)
+	{
+		struct binding *b, *tmp;
+
+		DL_FOREACH_SAFE2(m->bindings, b, tmp, mnext)
+			free(b);
+		HASH_DEL(c->machines, m);
+		free(m->left);
+		free(m);
+	}
+	HASH_ITER(hh, c->jobs, j, jtmp)
+		job_free(c, j);
+	for (size_t i = 0; i < c->conf->nteams; i++)
+		c->teams[i].cpus = c->teams[i].gpus = 0;
+	c->jobs_watching = false;
+	c->round_due = false;
+	c->fence_wanted = false;
+	c->attempts = 0;
+}
--- /dev/null
+++ b/src/core/rent.c
@@ -0,0 +1,730 @@
+/*
+ * The cloud: its catalog and list, what is rented for work that waits, what is returned.
+ * A request's name holds the token under which it was made and a counter, so none ever recurs.
+ */
+#include <math.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/state.h"
+#include "util/log.h"
+#include "wire/names.h"
+
+/* --- catalog: from the cloud, else from the copy a controller left with the state service --- */
+
+#define CATALOG_KEY "k/catalog"
+
+static bool take_catalog(struct core *c, json_t *o)
+{
+	struct machine_type *types;
+	size_t n;
+
+	if (wire_types_decode(o, &types, &n))
+		return false;
+	free(c->types);
+	c->types = types;
+	c->ntypes = n;
+	machines_relink(c);
+	return true;
+}
+
+static void on_nothing(struct core *c, struct call *call, int status, const char *body, size_t len)
+{
+	(void)call;
+	(void)body;
+	(void)len;
+	store_heard(c, status);
+}
+
+static void store_catalog(struct core *c)
+{
+	struct txn t;
+
+	c->catalog_stored = true;
+	txn_begin(&t);
+	txn_guard(&t, CATALOG_KEY, 0);
+	txn_put(&t, CATALOG_KEY, wire_types_encode(c->types, c->ntypes), 0);
+	store_commit(c, txn_finish(&t), on_nothing, NULL);
+}
+
+static void on_stored_catalog(struct core *c, struct call *call, int status, const char *body,
+			      size_t len)
+{
+	struct kv_item it;
+	json_t *o;
+
+	(void)call;
+	if (status != 200 || c->types)
+		return;
+	o = wire_parse(body, len);
+	if (!wire_kv(o, &it) && it.value && take_catalog(c, it.value)) {
+		c->catalog_stored = true;
+		log_info("catalog", "from=state types=%zu", c->ntypes);
+	}
+	json_decref(o);
+}
+
+static void on_catalog(struct core *c, struct call *call, int status, const char *body, size_t len)
+{
+	bool first = !c->types;
+	json_t *o;
+
+	(void)call;
+	c->catalog_out = false;
+	c->next_catalog = c->now + CLOUD_BACKOFF_S;
+	if (status != 200) {
+		if (first)
+			store_get(c, CATALOG_KEY, on_stored_catalog, NULL);
+		return;
+	}
+	o = wire_parse(body, len);
+	if (take_catalog(c, o)) {
+		c->next_catalog = c->now + CATALOG_EVERY_S;
+		if (first)
+			log_info("catalog", "from=cloud types=%zu", c->ntypes);
+		if (!c->catalog_stored)
+			store_catalog(c);
+	}
+	json_decref(o);
+}
+
+void catalog_tick(struct core *c)
+{
+	if (c->catalog_out || c->now < c->next_catalog ||
+	    (c->types && c->el.role != ROLE_LEAD))
+		return;
+	c->catalog_out = true;
+	core_call(c, c->conf->cloud, "GET", fmt_path(W_PATH_TYPES), NULL, CALL_CLOUD_S, on_catalog,
+		  NULL);
+}
+
+/* --- the list --- */
+
+static bool tomb_has(struct core *c, const char *id)
+{
+	struct tomb *t;
+
+	HASH_FIND_STR(c->tombs, id, t);
+	return t != NULL;
+}
+
+static void tomb_add(struct core *c, const char *id)
+{
+	struct tomb *t, *tmp;
+
+	HASH_ITER(hh, c->tombs, t, tmp)
+	{
+		if (c->now - t->at < TOMB_S)
+			break; /* oldest first */
+		HASH_DEL(c->tombs, t);
+		free(t);
+	}
+	if (tomb_has(c, id))
+		return;
+	t = calloc(1, sizeof(*t));
+	if (!t)
+		abort();
+	snprintf(t->id, sizeof(t->id), "%s", id);
+	t->at = c->now;
+	HASH_ADD_STR(c->tombs, id, t);
+}
+
+static void take_listed(struct core *c, const struct listed_machine *l)
+{
+	struct machine *m = machine_find(c, l->id);
+
+	/* A lagging list still names what was deleted: it must not come back to life. */
+	if (!m && (tomb_has(c, l->id) || l->state == LS_FAILED))
+		return;
+	if (!m) {
+		m = machine_get(c, l->id);
+		m->rented_at = c->now - l->age_s;
+		log_info("machine_listed", "machine=%s type=%s state=%d age=%.1f", l->id, l->type,
+			 l->state, l->age_s);
+	}
+	machine_describe(c, m, l->addr, l->type, l->zone, l->spot);
+	m->listed = true;
+	m->missing = 0;
+	m->list_round = c->list_round;
+	if (l->state == LS_FAILED)
+		m->failed = true;
+	if (m->last_word < 0 && l->state == LS_RUNNING && c->now - m->asked_at > MACHINE_SHOW_S)
+		workers_ask(c, m);
+}
+
+static void list_ended(struct core *c)
+{
+	struct machine *m, *tmp;
+
+	HASH_ITER(hh, c->machines, m, tmp)
+		if (m->listed && m->list_round != c->list_round)
+			m->missing++;
+	c->list_after[0] = 0;
+	c->next_list = c->now + LISTED_EVERY_S;
+}
+
+static void cloud_trouble(struct core *c, int status)
+{
+	if (status != 200)
+		c->cloud_again = c->now + CLOUD_BACKOFF_S;
+}
+
+static void on_list(struct core *c, struct call *call, int status, const char *body, size_t len)
+{
+	struct listed_machine *list;
+	size_t n;
+	int more;
+
+	if (election_stale(c, call))
+		return;
+	c->list_out = false;
+	cloud_trouble(c, status);
+	if (status != 200 || wire_list_decode(body, len, &list, &n, &more))
+		return;
+	for (size_t i = 0; i < n; i++)
+		take_listed(c, &list[i]);
+	if (more && n)
+		snprintf(c->list_after, sizeof(c->list_after), "%s", list[n - 1].id);
+	else
+		list_ended(c);
+	free(list);
+}
+
+static void ask_list(struct core *c)
+{
+	char *path;
+
+	c->list_out = true;
+	if (!*c->list_after)
+		c->list_round++;
+	if (*c->list_after)
+		path = fmt_path(W_PATH_MACHINES "?" W_AFTER "=%s&" W_LIMIT "=%d", c->list_after,
+				RANGE_LIMIT);
+	else
+		path = fmt_path(W_PATH_MACHINES "?" W_LIMIT "=%d", RANGE_LIMIT);
+	core_call(c, c->conf->cloud, "GET", path, NULL, CALL_CLOUD_S, on_list, NULL);
+}
+
+/* --- returning machines --- */
+
+static double patience(const struct core *c)
+{
+	if (c->conf->idle_patience_s >= 0)
+		return c->conf->idle_patience_s;
+	return rent_thrifty(c) ? IDLE_THRIFTY_S : IDLE_LAVISH_S;
+}
+
+bool rent_thrifty(const struct core *c)
+{
+	return conf_has(c->conf, OBJ_PRICE) || conf_has(c->conf, OBJ_USEFUL);
+}
+
+static void notice_look(struct core *c, struct machine *m)
+{
+	double left = m->notice_s - (c->now - m->notice_heard);
+	struct binding *b;
+
+	DL_FOREACH2(m->bindings, b, mnext)
+	{
+		double save = b->job->spec.save_s;
+
+		if (b->stopping || b->job->spec.checkpoint_s <= 0 || left < save)
+			continue;
+		if (left < save + NOTICE_MARGIN_S)
+			binding_stop(c, b, save + 1);
+	}
+}
+
+static void return_look(struct core *c)
+{
+	struct machine *m, *tmp;
+
+	HASH_ITER(hh, c->machines, m, tmp)
+	{
+		if (m->deleting)
+			continue;
+		if (m->notice_s >= 0)
+			notice_look(c, m);
+		if (m->bindings || m->last_word < 0)
+			continue;
+		if (m->draining || c->now - m->idle_since > patience(c)) {
+			log_info("machine_return", "machine=%s type=%s idle=%.1f", m->id,
+				 m->type_name, c->now - m->idle_since);
+			m->deleting = true;
+		}
+	}
+}
+
+struct delete_req {
+	char ids[DELETE_BATCH_MAX][ID_MAX];
+	size_t n;
+};
+
+static void on_delete(struct core *c, struct call *call, int status, const char *body, size_t len)
+{
+	struct delete_req *d = call->arg;
+
+	(void)body;
+	(void)len;
+	if (!election_stale(c, call)) {
+		cloud_trouble(c, status);
+		for (size_t i = 0; i < d->n; i++) {
+			struct machine *m = machine_find(c, d->ids[i]);
+
+			if (!m)
+				continue;
+			m->delete_out = false;
+			if (status != 200)
+				continue;
+			tomb_add(c, m->id);
+			machine_gone(c, m);
+		}
+	}
+	free(d);
+}
+
+static bool send_deletes(struct core *c)
+{
+	struct delete_req *d = calloc(1, sizeof(*d));
+	const char *ids[DELETE_BATCH_MAX];
+	struct machine *m, *tmp;
+
+	if (!d)
+		abort();
+	HASH_ITER(hh, c->machines, m, tmp)
+	{
+		if (!m->deleting || m->delete_out || m->gone || d->n == DELETE_BATCH_MAX)
+			continue;
+		m->delete_out = true;
+		snprintf(d->ids[d->n], ID_MAX, "%s", m->id);
+		ids[d->n] = d->ids[d->n];
+		d->n++;
+	}
+	if (!d->n) {
+		free(d);
+		return false;
+	}
+	core_call(c, c->conf->cloud, "POST", fmt_path(W_PATH_DELETE), wire_delete(ids, d->n),
+		  CALL_CLOUD_S, on_delete, d);
+	return true;
+}
+
+/* --- what is missing --- */
+
+/* Room that is there or will be: a live machine's rest, one that boots, one to be rented. */
+struct vroom {
+	const struct machine_type *type;
+	char zone[NAME_MAX_LEN];
+	bool spot;
+	bool wanted; /* to be rented now */
+	bool live;
+	double cpus, gpus, mem_gb;
+};
+
+struct plan {
+	struct vroom *v;
+	size_t n, cap;
+};
+
+static struct vroom *plan_add(struct plan *p, const struct machine_type *t, const char *zone, bool spot)
+{
+	struct vroom *v;
+
+	if (p->n == p->cap) {
+		p->cap = p->cap ? p->cap * 2 : 64;
+		p->v = realloc(p->v, p->cap * sizeof(*p->v));
+		if (!p->v)
+			abort();
+	}
+	v = &p->v[p->n++];
+	memset(v, 0, sizeof(*v));
+	v->type = t;
+	snprintf(v->zone, sizeof(v->zone), "%s", zone);
+	v->spot = spot;
+	v->cpus = t->cpus;
+	v->gpus = t->gpus;
+	v->mem_gb = t->mem_gb;
+	return v;
+}
+
+static bool vroom_take(struct vroom *v, const struct job_spec *s)
+{
+	if (v->cpus + 1e-6 < s->cpus || v->gpus + 1e-6 < s->gpus || v->mem_gb + 1e-6 < s->mem_gb ||
+	    !machine_allowed(v->type, v->zone, v->spot, s))
+		return false;
+	v->cpus -= s->cpus;
+	v->gpus -= s->gpus;
+	v->mem_gb -= s->mem_gb;
+	return true;
+}
+
+static bool plan_fit(struct plan *p, const struct job_spec *s, bool live)
+{
+	for (size_t i = 0; i < p->n; i++)
+		if ((live || !p->v[i].live) && vroom_take(&p->v[i], s))
+			return true;
+	return false;
+}
+
+static void refusal_key(char *key, size_t cap, const char *type, const char *zone, bool spot)
+{
+	snprintf(key, cap, "%s %s %d", type, zone, spot);
+}
+
+static bool refused(struct core *c, const char *type, const char *zone, bool spot)
+{
+	char key[3 * NAME_MAX_LEN];
+	struct refusal *r;
+
+	refusal_key(key, sizeof(key), type, zone, spot);
+	HASH_FIND_STR(c->refusals, key, r);
+	return r && c->now < r->until;
+}
+
+static void note_refusal(struct core *c, const struct rent_req *q, bool no)
+{
+	char key[3 * NAME_MAX_LEN];
+	struct refusal *r;
+
+	refusal_key(key, sizeof(key), q->type, q->zone, q->spot);
+	HASH_FIND_STR(c->refusals, key, r);
+	if (!r) {
+		r = calloc(1, sizeof(*r));
+		if (!r)
+			abort();
+		snprintf(r->key, sizeof(r->key), "%s", key);
+		HASH_ADD_STR(c->refusals, key, r);
+	}
+	if (!no) {
+		r->wait = 0;
+		r->until = 0;
+		return;
+	}
+	r->wait = r->wait ? r->wait * 2 : RENT_REFUSED_S;
+	if (r->wait > RENT_REFUSED_MAX_S)
+		r->wait = RENT_REFUSED_MAX_S;
+	r->until = c->now + r->wait;
+}
+
+static uint32_t per_machine(const struct machine_type *t, const struct job_spec *s)
+{
+	double n = 1e9;
+
+	if (s->cpus > 0)
+		n = fmin(n, t->cpus / s->cpus);
+	if (s->gpus > 0)
+		n = fmin(n, t->gpus / s->gpus);
+	if (s->mem_gb > 0)
+		n = fmin(n, t->mem_gb / s->mem_gb);
+	return (uint32_t)floor(n + 1e-9);
+}
+
+/* Lower is better: money per task where it counts, else time. */
+static double rent_cost(const struct core *c, const struct machine_type *t, bool spot,
+			const struct job_spec *s, uint32_t tasks)
+{
+	uint32_t fit = per_machine(t, s);
+
+	if (!fit)
+		return INFINITY;
+	if (rent_thrifty(c))
+		return (spot ? t->spot_price : t->price) / (tasks < fit ? tasks : fit);
+	return t->boot_s + (spot ? RENT_SPOT_S : 0) +
+	       (s->gpus <= 0 && t->gpus > 0 ? RENT_GPU_WASTE_S : 0);
+}
+
+static bool plan_rent(struct core *c, struct plan *p, const struct job_spec *s, uint32_t tasks)
+{
+	const struct machine_type *best = NULL;
+	double best_cost = INFINITY;
+	const char *zone = NULL;
+	bool spot = false;
+
+	for (size_t i = 0; i < c->ntypes; i++) {
+		const struct machine_type *t = &c->types[i];
+
+		for (int z = 0; z < t->nzones; z++)
+			for (int k = 0; k < 2; k++) {
+				double cost;
+
+				if (!machine_allowed(t, t->zones[z], k, s) ||
+				    refused(c, t->name, t->zones[z], k))
+					continue;
+				cost = rent_cost(c, t, k, s, tasks) *
+				       (1 + RENT_JITTER * core_random(c));
+				if (cost < best_cost) {
+					best_cost = cost;
+					best = t;
+					zone = t->zones[z];
+					spot = k;
+				}
+			}
+	}
+	if (!best)
+		return false;
+	plan_add(p, best, zone, spot)->wanted = true;
+	return plan_fit(p, s, false);
+}
+
+static void plan_known(struct core *c, struct plan *p)
+{
+	struct machine *m, *tmp;
+	struct rent_req *q;
+
+	HASH_ITER(hh, c->machines, m, tmp)
+	{
+		struct vroom *v;
+
+		if (!m->type || m->deleting || m->draining || m->failed || m->notice_s >= 0)
+			continue;
+		v = plan_add(p, m->type, m->zone, m->spot);
+		if (m->last_word < 0)
+			continue;
+		v->live = true;
+		v->cpus = m->cpus;
+		v->gpus = m->gpus;
+		v->mem_gb = m->mem_gb;
+	}
+	DL_FOREACH(c->rents, q)
+	{
+		for (size_t i = 0; i < c->ntypes; i++)
+			for (int k = 0; k < q->count && !strcmp(c->types[i].name, q->type); k++)
+				plan_add(p, &c->types[i], q->zone, q->spot);
+	}
+}
+
+/* Waiting tasks that their team may run now; they fit on no live machine, or they would run. */
+static void plan_waiting(struct core *c, struct plan *p)
+{
+	uint32_t looked = 0;
+	struct job *j, *tmp;
+
+	HASH_ITER(hh, c->jobs, j, tmp)
+	{
+		uint32_t n = job_waiting(j), k;
+
+		if (!n || c->now < j->not_before || (j->bindings && j->spec.kind == JOB_GANG))
+			continue;
+		if (c->wall - j->submitted < RENT_AFTER_S)
+			continue;
+		for (k = 0; k < n && looked < RENT_TASKS_MAX; k++, looked++) {
+			if (!team_has_room(c, &j->spec, k + 1))
+				break;
+			if (!plan_fit(p, &j->spec, false) && !plan_rent(c, p, &j->spec, n - k))
+				break;
+		}
+	}
+}
+
+struct class_use {
+	const struct job_spec *spec;
+	uint32_t tasks;
+};
+
+#define CLASSES_MAX 16
+
+static size_t classes_in_use(struct core *c, struct class_use *use)
+{
+	struct job *j, *tmp;
+	size_t n = 0;
+
+	HASH_ITER(hh, c->jobs, j, tmp)
+	{
+		size_t i = 0;
+
+		if (j->ghost)
+			continue;
+		while (i < n && strcmp(use[i].spec->class_name, j->spec.class_name))
+			i++;
+		if (i == CLASSES_MAX)
+			continue;
+		if (i == n) {
+			use[n].spec = &j->spec;
+			use[n++].tasks = 0;
+		}
+		use[i].tasks += j->nbound;
+	}
+	return n;
+}
+
+/* Where money is no aim, room is kept for what comes next. */
+static void plan_headroom(struct core *c, struct plan *p)
+{
+	double share = c->conf->headroom >= 0 ? c->conf->headroom : HEADROOM_LAVISH;
+	struct class_use use[CLASSES_MAX];
+	size_t n;
+
+	if (rent_thrifty(c) && c->conf->headroom < 0)
+		return;
+	n = classes_in_use(c, use);
+	for (size_t i = 0; i < n; i++) {
+		uint32_t want = (uint32_t)(share * use[i].tasks) + HEADROOM_LAVISH_MIN;
+
+		for (uint32_t k = 0; k < want; k++)
+			if (!plan_fit(p, use[i].spec, true) &&
+			    !plan_rent(c, p, use[i].spec, want - k))
+				break;
+	}
+}
+
+/* --- renting --- */
+
+static void on_rent(struct core *c, struct call *call, int status, const char *body, size_t len)
+{
+	struct rent_req *q;
+	char **ids;
+	size_t n;
+
+	if (election_stale(c, call))
+		return;
+	DL_FOREACH(c->rents, q)
+		if (!strcmp(q->name, call->key))
+			break;
+	if (!q)
+		return;
+	q->out = false;
+	if (status == 200 && !wire_rented(body, len, &ids, &n)) {
+		log_info("rented", "request=%s type=%s zone=%s spot=%d asked=%d got=%zu", q->name,
+			 q->type, q->zone, q->spot, q->count, n);
+		for (size_t i = 0; i < n; i++) {
+			if (!tomb_has(c, ids[i])) {
+				struct machine *m = machine_get(c, ids[i]);
+
+				machine_describe(c, m, "", q->type, q->zone, q->spot);
+			}
+			free(ids[i]);
+		}
+		free(ids);
+		note_refusal(c, q, (int)n < q->count);
+	} else if (status == 503 && body && strstr(body, "capacity")) {
+		log_info("rent_refused", "type=%s zone=%s spot=%d", q->type, q->zone, q->spot);
+		note_refusal(c, q, true);
+	} else {
+		cloud_trouble(c, status);
+		if (status != 400 && c->now - q->since < RENT_GIVE_UP_S) {
+			q->again = c->now + CLOUD_BACKOFF_S; /* the same name: it rents once */
+			return;
+		}
+	}
+	DL_DELETE(c->rents, q);
+	free(q);
+}
+
+static void rent_send(struct core *c, struct rent_req *q)
+{
+	struct call *call;
+
+	q->out = true;
+	call = core_call(c, c->conf->cloud, "POST", fmt_path(W_PATH_MACHINES),
+			 wire_rental(q->name, q->type, q->zone, q->spot, q->count), CALL_CLOUD_S,
+			 on_rent, NULL);
+	snprintf(call->key, sizeof(call->key), "%s", q->name);
+}
+
+/* One request for all wanted machines of the first wanted type, zone and kind. */
+static bool rent_first(struct core *c, struct plan *p)
+{
+	struct vroom *first = NULL;
+	struct rent_req *q;
+	int n = 0;
+
+	for (size_t i = 0; i < p->n; i++) {
+		struct vroom *v = &p->v[i];
+
+		if (!v->wanted)
+			continue;
+		if (!first)
+			first = v;
+		if (v->type != first->type || strcmp(v->zone, first->zone) || v->spot != first->spot)
+			continue;
+		n += n < RENT_BATCH_MAX;
+		if (v != first)
+			v->wanted = false;
+	}
+	if (!first)
+		return false;
+	first->wanted = false;
+	q = calloc(1, sizeof(*q));
+	if (!q)
+		abort();
+	snprintf(q->name, sizeof(q->name), "r-%llu-%u", (unsigned long long)c->el.token,
+		 ++c->rent_counter);
+	snprintf(q->type, sizeof(q->type), "%s", first->type->name);
+	snprintf(q->zone, sizeof(q->zone), "%s", first->zone);
+	q->spot = first->spot;
+	q->count = n;
+	q->since = c->now;
+	DL_APPEND(c->rents, q);
+	rent_send(c, q);
+	return true;
+}
+
+static void rent_look(struct core *c)
+{
+	struct plan p = {0};
+	int sent = 0;
+
+	plan_known(c, &p);
+	plan_waiting(c, &p);
+	plan_headroom(c, &p);
+	while (sent < RENT_REQUESTS && rent_first(c, &p))
+		sent++;
+	free(p.v);
+}
+
+static bool rent_again(struct core *c)
+{
+	struct rent_req *q;
+
+	DL_FOREACH(c->rents, q)
+	{
+		if (!q->out && c->now >= q->again) {
+			rent_send(c, q);
+			return true;
+		}
+	}
+	return false;
+}
+
+void rent_tick(struct core *c)
+{
+	if (c->now < c->next_rent)
+		return;
+	c->next_rent = c->now + RENT_EVERY_S;
+	return_look(c);
+	if (c->now < c->cloud_again || !c->types)
+		return;
+	if (!c->list_out && c->now >= c->next_list)
+		ask_list(c);
+	else if (send_deletes(c) || rent_again(c))
+		return;
+	else if (c->now - c->lead_since > RENT_SETTLE_S)
+		rent_look(c);
+}
+
+void rent_clear(struct core *c)
+{
+	struct rent_req *q, *tmp;
+	struct refusal *r, *rtmp;
+	struct tomb *t, *ttmp;
+
+	DL_FOREACH_SAFE(c->rents, q, tmp)
+	{
+		DL_DELETE(c->rents, q);
+		free(q);
+	}
+	HASH_ITER(hh, c->refusals, r, rtmp)
+	{
+		HASH_DEL(c->refusals, r);
+		free(r);
+	}
+	HASH_ITER(hh, c->tombs, t, ttmp)
+	{
+		HASH_DEL(c->tombs, t);
+		free(t);
+	}
+	c->list_out = false;
+	c->list_after[0] = 0;
+	c->next_list = c->next_rent = c->cloud_again = 0;
+}
--- /dev/null
+++ b/src/core/state.h
@@ -0,0 +1,417 @@
+/* What the core's parts share: the objects and each part's calls. */
+#ifndef PLOVERLOFT_STATE_H
+#define PLOVERLOFT_STATE_H
+
+#include <stdbool.h>
+
+#include <uthash.h>
+#include <utlist.h>
+
+#include "conf/conf.h"
+#include "constants.h"
+#include "core/core.h"
+#include "wire/wire.h"
+
+struct core;
+struct job;
+struct machine;
+
+/* --- calls to others --- */
+
+struct call;
+typedef void (*call_fn)(struct core *c, struct call *call, int status, const char *body,
+			size_t len);
+
+struct call {
+	uint64_t id;
+	call_fn fn;
+	void *arg;
+	uint64_t term; /* leadership under which it was made: answers of an older one are void */
+	double sent;
+	bool starts;	/* direct commands: a start is among them */
+	uint64_t token; /* direct commands: sent under it */
+	char key[CONF_NAME_MAX + ID_MAX];
+	UT_hash_handle hh;
+};
+
+/* --- objects --- */
+
+struct binding {
+	struct machine *machine;
+	struct job *job;
+	uint32_t task;
+	uint64_t attempt;
+	uint64_t floor_token; /* a report proves absence only if its worker saw this token */
+	uint64_t sent_session; /* session of the newest start sent this term; 0: none sent */
+	uint64_t beat_seq;     /* report whose answer carried the newest start */
+	uint64_t listed_at;    /* newest message that lists it */
+	double sent_at;
+	double stop_at;	   /* when the newest stop was sent; 0: none */
+	double grace_s;
+	double placed_at;
+	double running_since; /* 0: not running */
+	bool committed, flying;
+	bool loaded;	   /* made by an earlier leader */
+	bool seen;	   /* listed by its worker under this leader */
+	bool stopping;
+	enum task_state state;
+	struct binding *mprev, *mnext; /* on its machine */
+	struct binding *jprev, *jnext; /* of its job */
+};
+
+/* The listed tasks of a worker that are bound no more: to be stopped or forgotten. */
+struct leftover {
+	char job[ID_MAX];
+	uint32_t task;
+	uint64_t attempt;
+	bool ended;
+};
+
+struct machine {
+	char id[ID_MAX];
+	char addr[NAME_MAX_LEN];
+	char type_name[NAME_MAX_LEN];
+	char zone[NAME_MAX_LEN];
+	const struct machine_type *type;
+	bool spot;
+	double cpus, gpus, mem_gb; /* free */
+	struct binding *bindings;
+	int nbindings;
+
+	/* the worker */
+	uint64_t session, seq, token;
+	double last_beat; /* steady; < 0: none this term */
+	double last_word; /* any message this term; < 0: none */
+	double first_word;
+	double asked_at;
+	double notice_s;
+	double notice_heard; /* when notice_s was said */
+	struct leftover *left;
+	size_t nleft;
+	uint64_t loose_token; /* newest token of an unanswered command to start */
+	int do_out;
+	bool kick; /* commands wait to be sent directly */
+
+	/* the cloud */
+	bool listed;
+	bool failed;
+	bool adopted; /* known by the list or its worker only, not rented by this leader */
+	uint64_t list_round; /* the newest list that named it */
+	int missing;  /* lists in a row without it */
+	double rented_at;
+	double idle_since;
+	bool draining;
+	bool deleting; /* a delete was decided: it gets no tasks any more */
+	bool delete_out;
+	bool gone; /* the cloud's 200 to its delete came */
+	bool dropping; /* the transaction under way drops its record */
+
+	/* the record */
+	uint64_t version;
+	bool dirty, flying;
+
+	char images[MACHINE_IMAGES][NAME_MAX_LEN];
+	int nimages;
+	char failed_jobs[MACHINE_FAULT_JOBS][ID_MAX];
+	int nfailed_jobs;
+	double no_place_until;
+	UT_hash_handle hh;
+};
+
+struct job {
+	struct job_spec spec;
+	uint64_t version; /* of its record */
+	double submitted; /* wall */
+	bool cancelled;
+	bool ghost;	  /* only its bindings are known: it is final */
+	bool final_queued, final_done;
+	uint8_t *done;	  /* one bit per task */
+	uint8_t *bound;
+	uint32_t ndone, nbound, nrunning;
+	uint32_t next_task; /* no waiting task lies before it */
+	uint64_t attempt; /* gang: the attempt under way */
+	bool gang_stopping;
+	double not_before; /* steady */
+	int errors;
+	char bad[ERROR_JOB_MACHINES][ID_MAX];
+	int nbad;
+	double preempted_at;
+	double waiting_since; /* steady */
+	uint64_t *done_version; /* per chunk */
+	uint8_t *done_dirty;
+	uint8_t *done_flying;
+	struct binding *bindings;
+	UT_hash_handle hh;
+};
+
+struct team {
+	const struct conf_team *conf;
+	double cpus, gpus; /* bound */
+};
+
+/* --- the leader's transactions --- */
+
+enum write_kind { WR_MACHINE, WR_DONE, WR_FINAL };
+
+struct write {
+	enum write_kind kind;
+	void *obj;
+	uint32_t chunk;
+	struct write *prev, *next;
+};
+
+struct flight {
+	struct write *items;
+	char *body;
+	int nops;
+	bool fence;
+	bool waiting; /* to be sent again, unchanged */
+	int reads_out;
+};
+
+/* --- users --- */
+
+enum user_kind { USER_SUBMIT, USER_POLL, USER_CANCEL };
+
+struct user_req {
+	uint64_t conn;
+	enum user_kind kind;
+	char id[ID_MAX];
+	struct job_spec *spec;
+	json_t *record;
+	int verdict; /* 400 or 422 to give if the job is not known; 0: valid */
+	const char *why;
+	double since;
+	bool settled;	/* the commit's outcome is unknown: read before answering */
+	struct user_req *prev, *next;
+};
+
+struct final {
+	char id[ID_MAX];
+	enum job_state state;
+	uint32_t ntasks;
+	UT_hash_handle hh;
+};
+
+struct hint {
+	char id[ID_MAX];
+	uint32_t done, running;
+	UT_hash_handle hh;
+};
+
+enum lead_role { ROLE_FOLLOW, ROLE_LOADING, ROLE_LEAD };
+
+struct election {
+	enum lead_role role;
+	char leader[CONF_NAME_MAX];
+	uint64_t revision; /* of the leader key; 0: absent */
+	uint64_t watched;  /* revision from which to watch */
+	bool known;
+	bool reading, watching, claiming;
+	uint64_t token, term, lease;
+	double renewed;	   /* when the last renewal that succeeded was sent */
+	double next_renew;
+	bool renew_out;
+	double next_try;
+	double stand_back; /* no claim before */
+};
+
+struct refusal {
+	char key[3 * NAME_MAX_LEN];
+	double until, wait;
+	UT_hash_handle hh;
+};
+
+/* A deleted machine that lagging lists may still name. */
+struct tomb {
+	char id[ID_MAX];
+	double at;
+	UT_hash_handle hh;
+};
+
+struct rent_req {
+	char name[NAME_MAX_LEN];
+	char type[NAME_MAX_LEN];
+	char zone[NAME_MAX_LEN];
+	bool spot;
+	int count;
+	double since;
+	bool out;
+	double again;
+	struct rent_req *prev, *next;
+};
+
+struct core {
+	const struct conf *conf;
+	unsigned short rand48[3];
+	double now, wall;
+	struct core_action *actions;
+	struct call *calls;
+	uint64_t next_call;
+
+	struct election el;
+	double state_ok;  /* when an answer from the state service last came */
+	bool state_down;  /* the last answer was a refusal or none */
+
+	struct machine_type *types;
+	size_t ntypes;
+	bool catalog_out;
+	bool catalog_stored;
+	double next_catalog;
+
+	/* users */
+	struct user_req *submits; /* waiting for a transaction */
+	int nsubmits;
+	struct user_req *submit_flying;
+	int nreads;
+	double submit_again;
+	struct final *finals;
+	struct hint *hints;
+
+	/* leader */
+	struct job *jobs;
+	struct machine *machines;
+	struct team *teams;
+	struct write *writes;
+	struct flight flight;
+	bool flying;
+	double commit_again;
+	double write_tokens, write_filled;
+	bool fence_wanted;
+	double fence_at;
+	uint32_t attempts;
+	int loads_out;
+	uint64_t jobs_revision;
+	bool jobs_watching;
+	double jobs_watch_again;
+	bool round_due;
+	bool kicks;
+	double next_round, round_again, next_machines;
+	double lead_since;
+
+	/* rentals */
+	double next_rent, next_list, cloud_again;
+	bool list_out;
+	char list_after[ID_MAX];
+	struct rent_req *rents;
+	struct refusal *refusals;
+	struct tomb *tombs;
+	uint32_t rent_counter;
+	uint64_t list_round;
+};
+
+/* core.c */
+struct call *core_call(struct core *c, const char *addr, const char *method, char *path,
+		       char *body, double timeout_s, call_fn fn, void *arg);
+void core_reply(struct core *c, uint64_t conn, int status, int retry_after, char *body);
+void core_reply_error(struct core *c, uint64_t conn, int status, int retry_after,
+		      const char *why);
+double core_random(struct core *c);
+char *fmt_path(const char *fmt, ...) __attribute__((format(printf, 1, 2)));
+
+/* store.c: the state service */
+struct call *store_get(struct core *c, const char *key, call_fn fn, void *arg);
+struct call *store_range(struct core *c, const char *prefix, const char *after, call_fn fn,
+			 void *arg);
+struct call *store_commit(struct core *c, char *body, call_fn fn, void *arg);
+struct call *store_watch(struct core *c, const char *prefix, uint64_t from, int wait_ms,
+			 call_fn fn, void *arg);
+void store_heard(struct core *c, int status);
+
+/* election.c */
+void election_tick(struct core *c);
+void election_step_down(struct core *c, const char *why);
+void election_yield(struct core *c, const char *why);
+/* True while it may answer workers: a cancellation elsewhere is still carried out in time. */
+bool election_may_serve(const struct core *c);
+void election_reread(struct core *c);
+bool election_stale(const struct core *c, const struct call *call);
+json_t *election_value(const struct core *c);
+#define LEADER_KEY "leader"
+
+/* load.c */
+void load_start(struct core *c);
+void load_tick(struct core *c);
+void load_job_record(struct core *c, const char *id, json_t *value, uint64_t version);
+void leader_clear(struct core *c);
+
+/* users.c */
+void users_request(struct core *c, const struct core_request *r);
+void users_tick(struct core *c);
+json_t *users_record(const struct job_spec *spec, double submitted, bool cancelled);
+void users_note_final(struct core *c, const char *id, enum job_state s, uint32_t ntasks);
+void users_clear(struct core *c);
+
+/* jobs.c */
+struct job *job_find(struct core *c, const char *id);
+struct job *job_add(struct core *c, const struct job_spec *spec);
+void job_cancel(struct core *c, struct job *j);
+void job_task_done(struct core *c, struct job *j, uint32_t task);
+void job_done_unbound(struct core *c, const char *id, uint32_t task);
+bool job_bit(const uint8_t *bits, uint32_t task);
+uint32_t job_chunks(const struct job *j);
+uint32_t job_waiting(const struct job *j);
+uint32_t job_next_waiting(struct job *j);
+void job_settle(struct core *c, struct job *j);
+void job_free(struct core *c, struct job *j);
+void job_failed_on(struct core *c, struct job *j, struct machine *m);
+
+/* teams.c */
+struct team *team_find(struct core *c, const char *name);
+bool team_has_room(struct core *c, const struct job_spec *s, uint32_t tasks);
+bool team_ever_fits(const struct conf *conf, const struct job_spec *s);
+void team_charge(struct core *c, const struct job_spec *s, double sign);
+
+/* machines.c */
+struct machine *machine_find(struct core *c, const char *id);
+struct machine *machine_get(struct core *c, const char *id);
+void machine_describe(struct core *c, struct machine *m, const char *addr, const char *type,
+		      const char *zone, bool spot);
+void machine_gone(struct core *c, struct machine *m);
+void machine_tick(struct core *c);
+bool machine_fresh(const struct core *c, const struct machine *m);
+bool machine_usable(const struct core *c, const struct machine *m);
+bool machine_allowed(const struct machine_type *t, const char *zone, bool spot,
+		     const struct job_spec *s);
+bool machine_has_image(const struct machine *m, const char *image);
+void machine_note_image(struct machine *m, const char *image);
+void machines_relink(struct core *c);
+struct binding *binding_add(struct core *c, struct machine *m, struct job *j, uint32_t task,
+			    uint64_t attempt);
+void binding_end(struct core *c, struct binding *b, enum task_why why);
+void binding_drop(struct core *c, struct binding *b);
+void binding_stop(struct core *c, struct binding *b, double grace_s);
+
+/* workers.c */
+void workers_beat(struct core *c, const struct core_request *r);
+void workers_kick(struct core *c, struct machine *m);
+void workers_ask(struct core *c, struct machine *m);
+void workers_tick(struct core *c);
+
+/* commit.c */
+void commit_machine(struct core *c, struct machine *m);
+void commit_done(struct core *c, struct job *j, uint32_t chunk);
+void commit_final(struct core *c, struct job *j);
+void commit_tick(struct core *c);
+void commit_clear(struct core *c);
+bool commit_touches(const struct core *c, const void *obj);
+
+/* place.c */
+void round_wanted(struct core *c);
+void round_tick(struct core *c);
+
+/* preempt.c */
+bool preempt_for(struct core *c, struct job *j);
+
+/* rent.c */
+void rent_tick(struct core *c);
+void rent_clear(struct core *c);
+/* True if money is among the aims. */
+bool rent_thrifty(const struct core *c);
+void catalog_tick(struct core *c);
+
+/* done bits as text */
+char *bits_encode(const uint8_t *bits, uint32_t nbits);
+int bits_decode(const char *s, uint8_t *bits, uint32_t nbits);
+
+#endif
--- /dev/null
+++ b/src/core/store.c
@@ -0,0 +1,54 @@
+#include <stdio.h>
+#include <string.h>
+
+#include "core/state.h"
+#include "wire/names.h"
+
+/* Notes whether the state service serves us; a 503 may concern this controller alone. */
+void store_heard(struct core *c, int status)
+{
+	bool ok = status > 0 && status != 503;
+
+	c->state_down = !ok;
+	if (ok)
+		c->state_ok = c->now;
+}
+
+struct call *store_get(struct core *c, const char *key, call_fn fn, void *arg)
+{
+	struct call *call = core_call(c, c->conf->state, "GET", fmt_path(W_PATH_KEYS "/%s", key),
+				      NULL, CALL_STATE_S, fn, arg);
+
+	snprintf(call->key, sizeof(call->key), "%s", key);
+	return call;
+}
+
+struct call *store_range(struct core *c, const char *prefix, const char *after, call_fn fn,
+			 void *arg)
+{
+	char *path;
+
+	if (after && *after)
+		path = fmt_path(W_PATH_KEYS "?" W_PREFIX "=%s&" W_AFTER "=%s&" W_LIMIT "=%d",
+				prefix, after, RANGE_LIMIT);
+	else
+		path = fmt_path(W_PATH_KEYS "?" W_PREFIX "=%s&" W_LIMIT "=%d", prefix,
+				RANGE_LIMIT);
+	return core_call(c, c->conf->state, "GET", path, NULL, CALL_STATE_S, fn, arg);
+}
+
+struct call *store_commit(struct core *c, char *body, call_fn fn, void *arg)
+{
+	return core_call(c, c->conf->state, "POST", fmt_path(W_PATH_TXN), body, CALL_STATE_S, fn,
+			 arg);
+}
+
+struct call *store_watch(struct core *c, const char *prefix, uint64_t from, int wait_ms,
+			 call_fn fn, void *arg)
+{
+	char *path = fmt_path(W_PATH_WATCH "?" W_PREFIX "=%s&" W_AFTER "=%llu&" W_WAIT "=%d", prefix,
+			      (unsigned long long)from, wait_ms);
+
+	return core_call(c, c->conf->state, "GET", path, NULL,
+			 wait_ms / 1000.0 + LEADER_WATCH_SLACK_S, fn, arg);
+}
--- /dev/null
+++ b/src/core/workers.c
@@ -0,0 +1,389 @@
+/*
+ * Dealings with workers: reports, the commands in their answers, and direct commands.
+ *
+ * A binding ends on the worker's word alone: its task listed as ended, a newer session, or a
+ * report that lacks it from a worker that has seen the token under which it could last have been
+ * started. While a direct command to start is unanswered at the newest token, it may still arrive:
+ * nothing is then forgotten on that machine, and absence proves nothing, until a new token fences
+ * it off.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/state.h"
+#include "util/log.h"
+#include "wire/names.h"
+
+static struct binding *binding_find(struct machine *m, const struct report_task *t)
+{
+	struct binding *b;
+
+	DL_FOREACH2(m->bindings, b, mnext)
+		if (b->task == t->task && b->attempt == t->attempt && !strcmp(b->job->spec.id, t->job))
+			return b;
+	return NULL;
+}
+
+/* No start of an earlier moment can still take effect on this machine. */
+static bool fenced(const struct machine *m)
+{
+	return !m->do_out && m->token > m->loose_token;
+}
+
+/* --- reading a report --- */
+
+static void note_running(struct core *c, struct binding *b, enum task_state st)
+{
+	bool running = st == TS_RUNNING || st == TS_SAVING;
+
+	if (st != TS_FETCHING)
+		machine_note_image(b->machine, b->job->spec.image);
+	if (running && b->running_since <= 0) {
+		b->running_since = c->now;
+		b->job->nrunning++;
+		log_info("task_running", "job=%s task=%u attempt=%llu machine=%s after=%.2f",
+			 b->job->spec.id, b->task, (unsigned long long)b->attempt, b->machine->id,
+			 c->wall - b->job->submitted);
+	}
+	b->state = st;
+}
+
+static void add_leftover(struct machine *m, const struct report_task *t)
+{
+	struct leftover *l;
+
+	m->left = realloc(m->left, (m->nleft + 1) * sizeof(*m->left));
+	if (!m->left)
+		abort();
+	l = &m->left[m->nleft++];
+	snprintf(l->job, sizeof(l->job), "%s", t->job);
+	l->task = t->task;
+	l->attempt = t->attempt;
+	l->ended = t->state == TS_EXITED;
+}
+
+static void take_task(struct core *c, struct machine *m, const struct report_task *t)
+{
+	struct binding *b = binding_find(m, t);
+
+	if (b && t->state != TS_EXITED) {
+		b->seen = true;
+		b->listed_at = m->seq;
+		note_running(c, b, t->state);
+		return;
+	}
+	add_leftover(m, t);
+	if (b) {
+		if (t->why == WHY_DONE)
+			machine_note_image(m, b->job->spec.image);
+		binding_end(c, b, t->why);
+	} else if (t->state == TS_EXITED && t->why == WHY_DONE) {
+		job_done_unbound(c, t->job, t->task);
+	}
+}
+
+/* A bound task that this report does not list. */
+static void take_absent(struct core *c, struct machine *m, struct binding *b, bool beat)
+{
+	bool never_sent = !b->loaded && !b->sent_session && !b->beat_seq;
+
+	if (!b->committed || never_sent)
+		return;
+	/* The session that was told to start it is over. */
+	if (b->sent_session && m->session > b->sent_session) {
+		binding_end(c, b, WHY_NONE);
+		return;
+	}
+	if (!beat || m->token < b->floor_token || !fenced(m) || m->seq <= b->beat_seq) {
+		if (beat && !fenced(m) && !m->do_out && (b->stopping || b->loaded))
+			c->fence_wanted = true;
+		return;
+	}
+	if (b->loaded || b->seen || b->stopping)
+		binding_end(c, b, WHY_NONE);
+	/* else its start was lost on the way: it is sent again */
+}
+
+static void take_list(struct core *c, struct machine *m, const struct report *r, bool beat)
+{
+	struct binding *b;
+	bool again;
+
+	free(m->left);
+	m->left = NULL;
+	m->nleft = 0;
+	for (size_t i = 0; i < r->ntasks; i++)
+		take_task(c, m, &r->tasks[i]);
+	/* Ending a binding may end others of its gang, so the walk starts anew after each. */
+	do {
+		again = false;
+		DL_FOREACH2(m->bindings, b, mnext)
+		{
+			int before = m->nbindings;
+
+			if (b->listed_at == m->seq)
+				continue;
+			take_absent(c, m, b, beat);
+			if (m->nbindings != before) {
+				again = true;
+				break;
+			}
+		}
+	} while (again);
+}
+
+/* False if older than what is known: it says nothing new. */
+static bool take_report(struct core *c, struct machine *m, const struct report *r, bool beat)
+{
+	bool first = m->last_word < 0;
+
+	machine_describe(c, m, r->addr, r->type, r->zone, r->spot);
+	if (r->session < m->session || (r->session == m->session && r->seq <= m->seq))
+		return false;
+	m->session = r->session;
+	m->seq = r->seq;
+	if (r->token > m->token)
+		m->token = r->token;
+	m->last_word = c->now;
+	if (beat)
+		m->last_beat = c->now;
+	if (first) {
+		m->first_word = c->now;
+		m->idle_since = c->now;
+		log_info("machine_up", "machine=%s type=%s zone=%s spot=%d after=%.1f", m->id,
+			 m->type_name, m->zone, m->spot, c->now - m->rented_at);
+		round_wanted(c);
+	}
+	if (r->notice_s >= 0 && m->notice_s < 0) {
+		log_info("machine_notice", "machine=%s seconds=%.1f", m->id, r->notice_s);
+	}
+	m->notice_s = r->notice_s;
+	m->notice_heard = c->now;
+	take_list(c, m, r, beat);
+	return true;
+}
+
+/* --- commands --- */
+
+struct command_list {
+	struct command items[COMMANDS_MAX];
+	size_t n;
+	bool starts;
+};
+
+static void add_command(struct command_list *l, enum command_op op, const char *job, uint32_t task,
+			uint64_t attempt, double grace_s)
+{
+	struct command *cmd;
+
+	if (l->n == COMMANDS_MAX)
+		return;
+	cmd = &l->items[l->n++];
+	cmd->op = op;
+	snprintf(cmd->job, sizeof(cmd->job), "%s", job);
+	cmd->task = task;
+	cmd->attempt = attempt;
+	cmd->grace_s = grace_s;
+	l->starts |= op == OP_START;
+}
+
+/* A gang starts only when the whole attempt is committed: a part alone would wait in vain. */
+static bool may_start(const struct binding *b)
+{
+	const struct job *j = b->job;
+	const struct binding *o;
+
+	if (!b->committed || b->seen || b->stopping || j->cancelled || j->ghost ||
+	    j->gang_stopping || b->loaded)
+		return false;
+	if (j->spec.kind != JOB_GANG)
+		return true;
+	DL_FOREACH2(j->bindings, o, jnext)
+		if (!o->committed)
+			return false;
+	return true;
+}
+
+static void command_binding(struct core *c, struct machine *m, struct binding *b,
+			    struct command_list *l, bool beat)
+{
+	/* Sent by /do and answered, but not yet on a report: not sent again at once. */
+	if (may_start(b) &&
+	    (beat || b->sent_at <= 0 || c->now - b->sent_at > START_RESEND_S)) {
+		add_command(l, OP_START, b->job->spec.id, b->task, b->attempt, 0);
+		b->sent_at = c->now;
+		b->sent_session = m->session;
+		if (beat)
+			b->beat_seq = m->seq;
+	} else if (b->stopping && b->state != TS_EXITED &&
+		   (beat || b->stop_at <= 0 || c->now - b->stop_at > START_RESEND_S)) {
+		/* A second stop with less grace would end a save: it is repeated unchanged. */
+		add_command(l, OP_STOP, b->job->spec.id, b->task, b->attempt, b->grace_s);
+		b->stop_at = c->now;
+	}
+}
+
+static bool may_forget(struct core *c, const struct machine *m, const struct leftover *l)
+{
+	struct job *j = job_find(c, l->job);
+
+	/* Its end must be on record first: until then this list is the only proof. */
+	if (!fenced(m) || m->token < c->el.token || m->dirty || m->flying)
+		return false;
+	return !j || !commit_touches(c, j);
+}
+
+static void gather(struct core *c, struct machine *m, struct command_list *l, bool beat)
+{
+	struct binding *b;
+
+	l->n = 0;
+	l->starts = false;
+	for (size_t i = 0; i < m->nleft; i++) {
+		const struct leftover *x = &m->left[i];
+
+		if (!x->ended)
+			add_command(l, OP_STOP, x->job, x->task, x->attempt, 0);
+		else if (may_forget(c, m, x))
+			add_command(l, OP_FORGET, x->job, x->task, x->attempt, 0);
+		else if (!fenced(m) && !m->do_out)
+			c->fence_wanted = true;
+	}
+	if (m->deleting)
+		return;
+	DL_FOREACH2(m->bindings, b, mnext)
+		command_binding(c, m, b, l, beat);
+}
+
+static void misdirect(struct core *c, uint64_t conn)
+{
+	const char *leader = strcmp(c->el.leader, c->conf->name) ? c->el.leader : "";
+
+	core_reply(c, conn, 421, 0, wire_misdirected(leader));
+}
+
+void workers_beat(struct core *c, const struct core_request *r)
+{
+	struct command_list l;
+	struct report rep;
+	struct machine *m;
+
+	if (c->el.role == ROLE_FOLLOW) {
+		misdirect(c, r->conn);
+		return;
+	}
+	if (c->el.role == ROLE_LOADING) {
+		core_reply_error(c, r->conn, 503, 0, "taking over");
+		return;
+	}
+	if (wire_report_decode(r->body, r->len, &rep)) {
+		core_reply_error(c, r->conn, 400, 0, "report");
+		return;
+	}
+	/* A higher token than ours: another leads, and a 200 would hold the worker here in vain. */
+	if (rep.token > c->el.token) {
+		if (!(c->flying && c->flight.fence))
+			election_step_down(c, "worker_saw_higher_token");
+		wire_report_free(&rep);
+		core_reply_error(c, r->conn, 503, 0, "not leading");
+		return;
+	}
+	m = machine_get(c, rep.machine);
+	take_report(c, m, &rep, true);
+	wire_report_free(&rep);
+	gather(c, m, &l, true);
+	core_reply(c, r->conn, 200, 0, wire_beat_answer(c->el.token, l.items, l.n));
+}
+
+/* --- direct commands --- */
+
+static void take_answer(struct core *c, const char *body, size_t len)
+{
+	struct report rep;
+	struct machine *m;
+
+	if (wire_report_decode(body, len, &rep))
+		return;
+	m = machine_find(c, rep.machine);
+	if (m)
+		take_report(c, m, &rep, false);
+	wire_report_free(&rep);
+}
+
+static void on_do(struct core *c, struct call *call, int status, const char *body, size_t len)
+{
+	struct machine *m;
+
+	if (election_stale(c, call))
+		return;
+	m = machine_find(c, call->key);
+	if (!m)
+		return;
+	if (m->do_out)
+		m->do_out--;
+	if (status == 0 && call->starts && call->token > m->loose_token) {
+		m->loose_token = call->token;
+		log_debug("do_unanswered", "machine=%s", m->id);
+	}
+	if (status == 200 || status == 409)
+		take_answer(c, body, len);
+}
+
+static void on_show(struct core *c, struct call *call, int status, const char *body, size_t len)
+{
+	if (!election_stale(c, call) && status == 200)
+		take_answer(c, body, len);
+}
+
+void workers_ask(struct core *c, struct machine *m)
+{
+	if (!*m->addr)
+		return;
+	m->asked_at = c->now;
+	core_call(c, m->addr, "GET", fmt_path(W_PATH_STATUS), NULL, CALL_WORKER_S, on_show, NULL);
+}
+
+void workers_kick(struct core *c, struct machine *m)
+{
+	m->kick = true;
+	c->kicks = true;
+}
+
+static void send_direct(struct core *c, struct machine *m)
+{
+	struct command_list l;
+	struct call *call;
+
+	gather(c, m, &l, false);
+	if (!l.n)
+		return;
+	m->do_out++;
+	call = core_call(c, m->addr, "POST", fmt_path(W_PATH_COMMANDS),
+			 wire_direct_commands(c->el.token, m->session, l.items, l.n), CALL_WORKER_S,
+			 on_do, NULL);
+	snprintf(call->key, sizeof(call->key), "%s", m->id);
+	call->starts = l.starts;
+	call->token = c->el.token;
+}
+
+void workers_tick(struct core *c)
+{
+	struct machine *m, *tmp;
+
+	if (!c->kicks)
+		return;
+	c->kicks = false;
+	HASH_ITER(hh, c->machines, m, tmp)
+	{
+		if (!m->kick)
+			continue;
+		if (m->do_out) {
+			c->kicks = true; /* one at a time: what has gathered goes with the next */
+			continue;
+		}
+		m->kick = false;
+		if (m->session && *m->addr && !m->gone && machine_fresh(c, m))
+			send_direct(c, m);
+	}
+}
--- /dev/null
+++ b/src/net/net.c
@@ -0,0 +1,566 @@
+#include "net/net.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <time.h>
+#include <unistd.h>
+
+#include <uthash.h>
+#include <utlist.h>
+
+#include "constants.h"
+#include "net/http.h"
+#include "util/buf.h"
+#include "util/log.h"
+
+enum conn_kind { CONN_LISTEN, CONN_SERVER, CONN_CLIENT };
+
+struct pool;
+
+struct conn {
+	int fd;
+	enum conn_kind kind;
+	enum net_side side;
+	uint64_t id;		/* server: names the connection to the core */
+	int busy;		/* server: a request awaits its answer; client: a call is out */
+	int connecting;
+	int close_after;
+	int want_out;
+	int dead;
+	double since;		/* start of the half-read request, of idleness, or of the call */
+	double deadline;	/* client: end of the call */
+	uint64_t call_id;
+	struct pool *pool;
+	struct buf in, out;
+	struct conn *prev, *next;
+	UT_hash_handle hh;
+};
+
+struct pool {
+	char addr[NET_ADDR_MAX];
+	struct conn *idle;
+	UT_hash_handle hh;
+};
+
+struct net {
+	int ep;
+	const struct net_ops *ops;
+	void *ctx;
+	int max_conns;
+	int nconns;
+	uint64_t next_id;
+	double next_sweep;
+	struct conn *servers;	/* list */
+	struct conn *by_id;	/* hash of servers */
+	struct conn *calls;	/* list of busy clients */
+	struct conn *dead;	/* list, freed after the round */
+	struct pool *pools;
+	struct conn listeners[2];
+};
+
+static double clock_s(clockid_t c)
+{
+	struct timespec ts;
+
+	clock_gettime(c, &ts);
+	return (double)ts.tv_sec + (double)ts.tv_nsec * 1e-9;
+}
+
+double net_now(void)
+{
+	return clock_s(CLOCK_MONOTONIC);
+}
+
+double net_wall(void)
+{
+	return clock_s(CLOCK_REALTIME);
+}
+
+static int parse_addr(const char *s, struct sockaddr_in *sa)
+{
+	char host[NET_ADDR_MAX];
+	const char *colon = strrchr(s, ':');
+	long port;
+
+	if (!colon || (size_t)(colon - s) >= sizeof(host))
+		return -1;
+	memcpy(host, s, (size_t)(colon - s));
+	host[colon - s] = 0;
+	port = strtol(colon + 1, NULL, 10);
+	memset(sa, 0, sizeof(*sa));
+	sa->sin_family = AF_INET;
+	sa->sin_port = htons((uint16_t)port);
+	return port > 0 && port < 65536 && inet_pton(AF_INET, host, &sa->sin_addr) == 1 ? 0 : -1;
+}
+
+struct net *net_new(const struct net_ops *ops, void *ctx, int max_conns)
+{
+	struct net *n = calloc(1, sizeof(*n));
+
+	if (!n)
+		abort();
+	n->ep = epoll_create1(EPOLL_CLOEXEC);
+	n->ops = ops;
+	n->ctx = ctx;
+	n->max_conns = max_conns;
+	n->next_id = 1;
+	n->listeners[0].fd = n->listeners[1].fd = -1;
+	return n;
+}
+
+static void watch(struct net *n, struct conn *c, int op)
+{
+	struct epoll_event ev = {.events = EPOLLIN | (c->want_out ? EPOLLOUT : 0), .data.ptr = c};
+
+	epoll_ctl(n->ep, op, c->fd, &ev);
+}
+
+int net_listen(struct net *n, enum net_side side, const char *addr)
+{
+	struct conn *c = &n->listeners[side];
+	struct sockaddr_in sa;
+	int one = 1;
+
+	if (parse_addr(addr, &sa))
+		return -1;
+	c->fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	c->kind = CONN_LISTEN;
+	c->side = side;
+	if (c->fd < 0)
+		return -1;
+	setsockopt(c->fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+	if (bind(c->fd, (struct sockaddr *)&sa, sizeof(sa)) || listen(c->fd, NET_BACKLOG))
+		return -1;
+	watch(n, c, EPOLL_CTL_ADD);
+	return 0;
+}
+
+static void conn_close(struct net *n, struct conn *c)
+{
+	if (c->dead)
+		return;
+	c->dead = 1;
+	close(c->fd);
+	n->nconns--;
+	if (c->kind == CONN_SERVER) {
+		HASH_DEL(n->by_id, c);
+		DL_DELETE(n->servers, c);
+	} else if (c->busy) {
+		DL_DELETE(n->calls, c);
+	} else {
+		DL_DELETE(c->pool->idle, c);
+	}
+	DL_APPEND(n->dead, c);
+}
+
+static void free_dead(struct net *n)
+{
+	struct conn *c, *tmp;
+
+	DL_FOREACH_SAFE(n->dead, c, tmp)
+	{
+		DL_DELETE(n->dead, c);
+		buf_free(&c->in);
+		buf_free(&c->out);
+		free(c);
+	}
+}
+
+/* The call ends without an answer, or its connection broke. */
+static void call_fail(struct net *n, struct conn *c)
+{
+	uint64_t id = c->call_id;
+
+	conn_close(n, c);
+	n->ops->reply(n->ctx, id, 0, "", 0);
+}
+
+static void conn_broken(struct net *n, struct conn *c)
+{
+	if (c->kind == CONN_CLIENT && c->busy)
+		call_fail(n, c);
+	else
+		conn_close(n, c);
+}
+
+static int conn_flush(struct net *n, struct conn *c)
+{
+	int want;
+
+	while (c->out.len) {
+		ssize_t w = send(c->fd, buf_at(&c->out), c->out.len, MSG_NOSIGNAL);
+
+		if (w < 0 && errno == EINTR)
+			continue;
+		if (w < 0 && errno != EAGAIN)
+			return -1;
+		if (w < 0)
+			break;
+		buf_drop(&c->out, (size_t)w);
+	}
+	want = c->out.len > 0;
+	if (want != c->want_out) {
+		c->want_out = want;
+		watch(n, c, EPOLL_CTL_MOD);
+	}
+	if (!want && c->kind == CONN_SERVER && c->close_after && !c->busy)
+		return -1;
+	return 0;
+}
+
+void net_answer(struct net *n, uint64_t id, int status, int retry_after, const char *body,
+		size_t len)
+{
+	struct conn *c;
+
+	HASH_FIND(hh, n->by_id, &id, sizeof(id), c);
+	if (!c || !c->busy)
+		return;
+	c->busy = 0;
+	c->since = net_now();
+	buf_addf(&c->out, "HTTP/1.1 %d %s\r\nContent-Type: application/json\r\nContent-Length: %zu\r\n",
+		 status, http_reason(status), len);
+	if (retry_after > 0)
+		buf_addf(&c->out, "Retry-After: %d\r\n", retry_after);
+	if (c->close_after)
+		buf_addf(&c->out, "Connection: close\r\n");
+	buf_add(&c->out, "\r\n", 2);
+	buf_add(&c->out, body, len);
+	if (conn_flush(n, c))
+		conn_close(n, c);
+}
+
+static void server_refuse(struct net *n, struct conn *c, int status)
+{
+	static const char body[] = "{\"error\":\"bad request\"}";
+
+	c->busy = 1;
+	c->close_after = 1;
+	net_answer(n, c->id, status, 0, body, sizeof(body) - 1);
+	if (!c->dead)
+		conn_close(n, c);
+}
+
+static void server_input(struct net *n, struct conn *c)
+{
+	struct http_msg m;
+	char path[HTTP_PATH_MAX];
+
+	while (!c->dead && !c->busy && c->in.len) {
+		enum http_result r =
+			http_parse(&m, buf_at(&c->in), c->in.len, 0, HTTP_BODY_MAX);
+		char *body;
+
+		if (r == HTTP_MORE)
+			return;
+		if (r != HTTP_OK || m.path_len >= sizeof(path)) {
+			server_refuse(n, c, r == HTTP_TOO_LARGE ? 413 : 400);
+			return;
+		}
+		memcpy(path, m.path, m.path_len);
+		path[m.path_len] = 0;
+		body = malloc(m.body_len + 1);
+		if (!body)
+			abort();
+		memcpy(body, m.body, m.body_len);
+		body[m.body_len] = 0;
+		buf_drop(&c->in, m.head_len + m.body_len);
+		c->busy = 1;
+		c->close_after = m.close;
+		n->ops->request(n->ctx, c->id, c->side, m.method, path, body, m.body_len);
+		free(body);
+	}
+}
+
+static void client_input(struct net *n, struct conn *c)
+{
+	struct http_msg m;
+	enum http_result r;
+	struct buf in;
+	uint64_t id = c->call_id;
+
+	if (!c->busy) {
+		conn_close(n, c); /* nothing was asked: closed, or a stranger's words */
+		return;
+	}
+	r = http_parse(&m, buf_at(&c->in), c->in.len, 1, HTTP_REPLY_MAX);
+	if (r == HTTP_MORE)
+		return;
+	if (r != HTTP_OK) {
+		call_fail(n, c);
+		return;
+	}
+	in = c->in;
+	memset(&c->in, 0, sizeof(c->in));
+	if (m.close || in.len > m.head_len + m.body_len) {
+		conn_close(n, c);
+	} else {
+		DL_DELETE(n->calls, c);
+		c->busy = 0;
+		c->since = net_now();
+		DL_PREPEND(c->pool->idle, c);
+	}
+	n->ops->reply(n->ctx, id, m.status, m.body, m.body_len);
+	buf_free(&in);
+}
+
+static void conn_read(struct net *n, struct conn *c)
+{
+	for (;;) {
+		char *p = buf_room(&c->in, NET_READ_CHUNK);
+		ssize_t r = recv(c->fd, p, NET_READ_CHUNK, 0);
+
+		if (r < 0 && errno == EINTR)
+			continue;
+		if (r < 0 && errno == EAGAIN)
+			break;
+		if (r <= 0) {
+			conn_broken(n, c);
+			return;
+		}
+		if (!c->in.len && c->kind == CONN_SERVER)
+			c->since = net_now();
+		c->in.len += (size_t)r;
+		if (c->in.len > HTTP_REPLY_MAX + HTTP_HEAD_MAX ||
+		    (c->kind == CONN_SERVER && c->in.len > HTTP_BODY_MAX + HTTP_HEAD_MAX)) {
+			conn_broken(n, c);
+			return;
+		}
+		if (r < NET_READ_CHUNK)
+			break;
+	}
+	if (c->kind == CONN_SERVER)
+		server_input(n, c);
+	else
+		client_input(n, c);
+}
+
+static void accept_one(struct net *n, struct conn *l, int fd)
+{
+	struct conn *c = calloc(1, sizeof(*c));
+	int one = 1;
+
+	if (!c)
+		abort();
+	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+	c->fd = fd;
+	c->kind = CONN_SERVER;
+	c->side = l->side;
+	c->id = n->next_id++;
+	c->since = net_now();
+	n->nconns++;
+	HASH_ADD(hh, n->by_id, id, sizeof(c->id), c);
+	DL_APPEND(n->servers, c);
+	watch(n, c, EPOLL_CTL_ADD);
+}
+
+static void net_accept(struct net *n, struct conn *l)
+{
+	for (int i = 0; i < NET_ACCEPT_BATCH; i++) {
+		int fd = accept4(l->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+
+		if (fd < 0)
+			return;
+		/* Sockets for our own calls are kept back; a caller that is turned away asks again. */
+		if (n->nconns >= n->max_conns - NET_CONNS_RESERVED) {
+			log_error("conn_limit", "conns=%d", n->nconns);
+			close(fd);
+			return;
+		}
+		accept_one(n, l, fd);
+	}
+}
+
+static struct pool *pool_get(struct net *n, const char *addr)
+{
+	struct pool *p;
+
+	HASH_FIND_STR(n->pools, addr, p);
+	if (p)
+		return p;
+	p = calloc(1, sizeof(*p));
+	if (!p)
+		abort();
+	snprintf(p->addr, sizeof(p->addr), "%s", addr);
+	HASH_ADD_STR(n->pools, addr, p);
+	return p;
+}
+
+static struct conn *client_open(struct net *n, struct pool *p)
+{
+	struct sockaddr_in sa;
+	struct conn *c;
+	int fd, one = 1;
+
+	if (parse_addr(p->addr, &sa) || n->nconns >= n->max_conns)
+		return NULL;
+	fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	if (fd < 0)
+		return NULL;
+	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+	if (connect(fd, (struct sockaddr *)&sa, sizeof(sa)) && errno != EINPROGRESS) {
+		close(fd);
+		return NULL;
+	}
+	c = calloc(1, sizeof(*c));
+	if (!c)
+		abort();
+	c->fd = fd;
+	c->kind = CONN_CLIENT;
+	c->pool = p;
+	c->connecting = 1;
+	c->want_out = 1;
+	n->nconns++;
+	watch(n, c, EPOLL_CTL_ADD);
+	return c;
+}
+
+void net_send(struct net *n, const struct net_call *call)
+{
+	struct pool *p = pool_get(n, call->addr);
+	struct conn *c = p->idle;
+
+	if (c)
+		DL_DELETE(p->idle, c);
+	else
+		c = client_open(n, p);
+	if (!c) {
+		n->ops->reply(n->ctx, call->id, -1, "", 0);
+		return;
+	}
+	c->busy = 1;
+	c->call_id = call->id;
+	c->since = net_now();
+	c->deadline = c->since + call->timeout_s;
+	DL_APPEND(n->calls, c);
+	buf_addf(&c->out, "%s %s HTTP/1.1\r\nHost: %s\r\n", call->method, call->path, p->addr);
+	if (call->len || strcmp(call->method, "GET"))
+		buf_addf(&c->out, "Content-Type: application/json\r\nContent-Length: %zu\r\n",
+			 call->len);
+	buf_add(&c->out, "\r\n", 2);
+	buf_add(&c->out, call->body, call->len);
+	if (!c->connecting && conn_flush(n, c))
+		call_fail(n, c);
+}
+
+/* A connection that never came about carried nothing: status -1, certain not to be executed. */
+static int client_connected(struct net *n, struct conn *c)
+{
+	int err = 0;
+	socklen_t len = sizeof(err);
+
+	getsockopt(c->fd, SOL_SOCKET, SO_ERROR, &err, &len);
+	if (err) {
+		uint64_t id = c->call_id;
+
+		conn_close(n, c);
+		n->ops->reply(n->ctx, id, -1, "", 0);
+		return -1;
+	}
+	c->connecting = 0;
+	return 0;
+}
+
+static void conn_event(struct net *n, struct conn *c, uint32_t events)
+{
+	if (c->dead)
+		return;
+	if (c->connecting && (events & (EPOLLOUT | EPOLLERR | EPOLLHUP)) &&
+	    client_connected(n, c))
+		return;
+	if (c->connecting)
+		return;
+	if ((events & EPOLLOUT) && conn_flush(n, c)) {
+		conn_broken(n, c);
+		return;
+	}
+	if (events & (EPOLLIN | EPOLLERR | EPOLLHUP))
+		conn_read(n, c);
+}
+
+static void sweep(struct net *n, double now)
+{
+	struct conn *c, *tmp;
+	struct pool *p, *ptmp;
+
+	DL_FOREACH_SAFE(n->calls, c, tmp)
+	{
+		if (c->deadline <= now && !c->dead) {
+			uint64_t id = c->call_id;
+			int status = c->connecting ? -1 : 0;
+
+			conn_close(n, c);
+			n->ops->reply(n->ctx, id, status, "", 0);
+		}
+	}
+	DL_FOREACH_SAFE(n->servers, c, tmp)
+	{
+		/* A request half sent, or an answer nobody reads, holds a socket. */
+		if (!c->busy && (c->in.len || c->out.len) && now - c->since > NET_SLOW_S)
+			conn_close(n, c);
+	}
+	HASH_ITER(hh, n->pools, p, ptmp)
+	{
+		DL_FOREACH_SAFE(p->idle, c, tmp)
+		{
+			if (now - c->since > NET_IDLE_S)
+				conn_close(n, c);
+		}
+	}
+}
+
+void net_poll(struct net *n, double wait_s)
+{
+	struct epoll_event evs[NET_EVENTS];
+	double now;
+	int k, ms = wait_s <= 0 ? 0 : (int)(wait_s * 1000.0) + 1;
+
+	if (ms > NET_SWEEP_MS)
+		ms = NET_SWEEP_MS;
+	k = epoll_wait(n->ep, evs, NET_EVENTS, ms);
+	for (int i = 0; i < k; i++) {
+		struct conn *c = evs[i].data.ptr;
+
+		if (c->kind == CONN_LISTEN)
+			net_accept(n, c);
+		else
+			conn_event(n, c, evs[i].events);
+	}
+	now = net_now();
+	if (now >= n->next_sweep) {
+		n->next_sweep = now + NET_SWEEP_MS / 1000.0;
+		sweep(n, now);
+	}
+	free_dead(n);
+}
+
+void net_free(struct net *n)
+{
+	struct pool *p, *tmp;
+
+	while (n->servers)
+		conn_close(n, n->servers);
+	while (n->calls)
+		conn_close(n, n->calls);
+	HASH_ITER(hh, n->pools, p, tmp)
+	{
+		while (p->idle)
+			conn_close(n, p->idle);
+		HASH_DEL(n->pools, p);
+		free(p);
+	}
+	free_dead(n);
+	for (int i = 0; i < 2; i++)
+		if (n->listeners[i].fd >= 0)
+			close(n->listeners[i].fd);
+	close(n->ep);
+	free(n);
+}
--- /dev/null
+++ b/src/wire/json.c
@@ -0,0 +1,658 @@
+#include "wire/wire.h"
+
+#include <math.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "constants.h"
+#include "wire/names.h"
+
+static const char *const priority_names[] = {W_PRIO_PRODUCTION, W_PRIO_HIGH, W_PRIO_NORMAL,
+					     W_PRIO_LOW};
+static const char *const job_states[] = {W_ST_QUEUED, W_ST_RUNNING, W_ST_DONE, W_ST_CANCELLED};
+static const char *const task_states[] = {W_TS_FETCHING, W_TS_WAITING, W_TS_RUNNING, W_TS_SAVING,
+					  W_TS_EXITED};
+static const char *const task_whys[] = {"",	      W_WHY_DONE,    W_WHY_STOPPED,
+					W_WHY_PEERS,  W_WHY_ALONE,   W_WHY_ERROR,
+					W_WHY_NO_ROOM, W_WHY_BUSY,   W_WHY_UNKNOWN};
+static const char *const ops[] = {W_OP_START, W_OP_STOP, W_OP_FORGET};
+static const char *const listed_states[] = {W_MS_BOOTING, W_MS_RUNNING, W_MS_FAILED};
+
+#define LEN(a) (sizeof(a) / sizeof((a)[0]))
+
+static int name_index(const char *const *names, size_t n, const char *s)
+{
+	for (size_t i = 0; s && i < n; i++)
+		if (!strcmp(names[i], s))
+			return (int)i;
+	return -1;
+}
+
+static int get_text(json_t *o, const char *key, char *out, size_t cap)
+{
+	const char *s = json_string_value(json_object_get(o, key));
+
+	if (!s || strlen(s) >= cap)
+		return -1;
+	memcpy(out, s, strlen(s) + 1);
+	return 0;
+}
+
+static int get_number(json_t *o, const char *key, double *out)
+{
+	json_t *v = json_object_get(o, key);
+
+	if (!json_is_number(v))
+		return -1;
+	*out = json_number_value(v);
+	return isfinite(*out) && *out >= 0 && *out < WIRE_NUMBER_MAX ? 0 : -1;
+}
+
+static int get_count(json_t *o, const char *key, uint64_t *out)
+{
+	json_t *v = json_object_get(o, key);
+
+	if (!json_is_integer(v) || json_integer_value(v) < 0)
+		return -1;
+	*out = (uint64_t)json_integer_value(v);
+	return 0;
+}
+
+static int get_bool(json_t *o, const char *key, int *out)
+{
+	json_t *v = json_object_get(o, key);
+
+	*out = json_is_true(v);
+	return json_is_boolean(v) ? 0 : -1;
+}
+
+static char *dump(json_t *o)
+{
+	char *s = json_dumps(o, JSON_COMPACT);
+
+	json_decref(o);
+	if (!s)
+		abort();
+	return s;
+}
+
+json_t *wire_parse(const char *body, size_t len)
+{
+	return json_loadb(body, len, JSON_REJECT_DUPLICATES, NULL);
+}
+
+int wire_job_id_ok(const char *id)
+{
+	size_t n = strlen(W_JOB_PREFIX), len = strlen(id);
+
+	if (len <= n || len >= ID_MAX || strncmp(id, W_JOB_PREFIX, n))
+		return 0;
+	return strspn(id + n, "0123456789") == len - n;
+}
+
+static int decode_types(json_t *o, struct job_spec *j)
+{
+	json_t *v = json_object_get(o, W_TYPES), *e;
+	size_t i;
+
+	if (!v || json_is_null(v))
+		return 0;
+	if (!json_is_array(v) || !json_array_size(v))
+		return -1;
+	json_array_foreach(v, i, e)
+	{
+		const char *s = json_string_value(e);
+
+		if (!s || !*s || strlen(s) >= NAME_MAX_LEN)
+			return -1;
+		if (j->ntypes == WIRE_TYPES_MAX)
+			return -1;
+		memcpy(j->types[j->ntypes++], s, strlen(s) + 1);
+	}
+	return 0;
+}
+
+static int decode_optional(json_t *o, struct job_spec *j, const char **why)
+{
+	json_t *v = json_object_get(o, W_ZONE);
+
+	*why = W_ZONE;
+	if (v && !json_is_null(v) && (get_text(o, W_ZONE, j->zone, sizeof(j->zone)) || !*j->zone))
+		return -1;
+	v = json_object_get(o, W_DEADLINE);
+	j->deadline_s = -1;
+	*why = W_DEADLINE;
+	if (v && !json_is_null(v) && get_number(o, W_DEADLINE, &j->deadline_s))
+		return -1;
+	*why = W_TYPES;
+	return decode_types(o, j);
+}
+
+static int decode_amounts(json_t *o, struct job_spec *j, const char **why)
+{
+	const struct {
+		const char *key;
+		double *out;
+	} nums[] = {{W_CPUS, &j->cpus},		    {W_GPUS, &j->gpus},
+		    {W_MEMORY, &j->mem_gb},	    {W_IMAGE_GB, &j->image_gb},
+		    {W_ESTIMATE, &j->estimate_s},   {W_CHECKPOINT, &j->checkpoint_s},
+		    {W_SAVE, &j->save_s}};
+	const struct {
+		const char *key;
+		int *out;
+	} bools[] = {{W_ONE_ZONE, &j->one_zone}, {W_SPREAD, &j->spread}, {W_SPOT, &j->spot}};
+
+	for (size_t i = 0; i < LEN(nums); i++) {
+		*why = nums[i].key;
+		if (get_number(o, nums[i].key, nums[i].out))
+			return -1;
+	}
+	for (size_t i = 0; i < LEN(bools); i++) {
+		*why = bools[i].key;
+		if (get_bool(o, bools[i].key, bools[i].out))
+			return -1;
+	}
+	return 0;
+}
+
+int wire_job_decode(json_t *o, struct job_spec *j, const char **why)
+{
+	char word[NAME_MAX_LEN];
+	uint64_t n;
+	int i;
+
+	memset(j, 0, sizeof(*j));
+	*why = "not an object";
+	if (!json_is_object(o))
+		return -1;
+	*why = W_ID;
+	if (get_text(o, W_ID, j->id, sizeof(j->id)) || !wire_job_id_ok(j->id))
+		return -1;
+	*why = W_CLASS;
+	if (get_text(o, W_CLASS, j->class_name, sizeof(j->class_name)) || !*j->class_name)
+		return -1;
+	*why = W_TEAM;
+	if (get_text(o, W_TEAM, j->team, sizeof(j->team)) || !*j->team)
+		return -1;
+	*why = W_IMAGE;
+	if (get_text(o, W_IMAGE, j->image, sizeof(j->image)) || !*j->image)
+		return -1;
+	*why = W_KIND;
+	if (get_text(o, W_KIND, word, sizeof(word)))
+		return -1;
+	if (strcmp(word, W_KIND_ARRAY) && strcmp(word, W_KIND_GANG))
+		return -1;
+	j->kind = strcmp(word, W_KIND_GANG) ? JOB_ARRAY : JOB_GANG;
+	*why = W_PRIORITY;
+	if (get_text(o, W_PRIORITY, word, sizeof(word)))
+		return -1;
+	if ((i = name_index(priority_names, LEN(priority_names), word)) < 0)
+		return -1;
+	j->priority = (enum job_priority)i;
+	*why = W_TASKS;
+	if (get_count(o, W_TASKS, &n) || n == 0 || n > JOB_TASKS_MAX)
+		return -1;
+	j->ntasks = (uint32_t)n;
+	if (decode_amounts(o, j, why))
+		return -1;
+	return decode_optional(o, j, why);
+}
+
+json_t *wire_job_encode(const struct job_spec *j)
+{
+	json_t *o = json_object();
+
+	json_object_set_new(o, W_ID, json_string(j->id));
+	json_object_set_new(o, W_CLASS, json_string(j->class_name));
+	json_object_set_new(o, W_TEAM, json_string(j->team));
+	json_object_set_new(o, W_KIND,
+			    json_string(j->kind == JOB_GANG ? W_KIND_GANG : W_KIND_ARRAY));
+	json_object_set_new(o, W_PRIORITY, json_string(priority_names[j->priority]));
+	json_object_set_new(o, W_TASKS, json_integer(j->ntasks));
+	json_object_set_new(o, W_CPUS, json_real(j->cpus));
+	json_object_set_new(o, W_GPUS, json_real(j->gpus));
+	json_object_set_new(o, W_MEMORY, json_real(j->mem_gb));
+	json_object_set_new(o, W_IMAGE, json_string(j->image));
+	json_object_set_new(o, W_IMAGE_GB, json_real(j->image_gb));
+	if (j->ntypes) {
+		json_t *a = json_array();
+
+		for (int i = 0; i < j->ntypes; i++)
+			json_array_append_new(a, json_string(j->types[i]));
+		json_object_set_new(o, W_TYPES, a);
+	}
+	if (*j->zone)
+		json_object_set_new(o, W_ZONE, json_string(j->zone));
+	json_object_set_new(o, W_ONE_ZONE, json_boolean(j->one_zone));
+	json_object_set_new(o, W_SPREAD, json_boolean(j->spread));
+	json_object_set_new(o, W_SPOT, json_boolean(j->spot));
+	json_object_set_new(o, W_ESTIMATE, json_real(j->estimate_s));
+	json_object_set_new(o, W_CHECKPOINT, json_real(j->checkpoint_s));
+	json_object_set_new(o, W_SAVE, json_real(j->save_s));
+	if (j->deadline_s >= 0)
+		json_object_set_new(o, W_DEADLINE, json_real(j->deadline_s));
+	return o;
+}
+
+const char *wire_job_state(enum job_state s)
+{
+	return job_states[s];
+}
+
+char *wire_job_answer(const char *id, enum job_state s, uint32_t done, uint32_t running)
+{
+	json_t *o = json_object();
+
+	json_object_set_new(o, W_ID, json_string(id));
+	json_object_set_new(o, W_STATE, json_string(job_states[s]));
+	json_object_set_new(o, W_DONE, json_integer(done));
+	json_object_set_new(o, W_RUNNING, json_integer(running));
+	return dump(o);
+}
+
+/* "job-000412/3" */
+static int decode_task_name(const char *s, char *job, uint32_t *task)
+{
+	const char *slash = s ? strrchr(s, '/') : NULL;
+	char *end;
+	unsigned long v;
+
+	if (!slash || slash == s || (size_t)(slash - s) >= ID_MAX)
+		return -1;
+	memcpy(job, s, (size_t)(slash - s));
+	job[slash - s] = 0;
+	v = strtoul(slash + 1, &end, 10);
+	if (end == slash + 1 || *end || v >= JOB_TASKS_MAX)
+		return -1;
+	*task = (uint32_t)v;
+	return 0;
+}
+
+static int decode_report_task(json_t *o, struct report_task *t)
+{
+	int st = name_index(task_states, LEN(task_states),
+			    json_string_value(json_object_get(o, W_STATE)));
+	int why = name_index(task_whys, LEN(task_whys),
+			     json_string_value(json_object_get(o, W_WHY)));
+
+	if (decode_task_name(json_string_value(json_object_get(o, W_TASK)), t->job, &t->task) ||
+	    get_count(o, W_ATTEMPT, &t->attempt) || st < 0)
+		return -1;
+	t->state = (enum task_state)st;
+	t->why = why < 0 ? WHY_NONE : (enum task_why)why;
+	t->saved = json_is_true(json_object_get(o, W_SAVED));
+	return 0;
+}
+
+static int decode_report(json_t *o, struct report *r)
+{
+	json_t *tasks = json_object_get(o, W_TASKS), *e;
+	size_t i;
+
+	if (get_text(o, W_MACHINE, r->machine, sizeof(r->machine)) || !*r->machine ||
+	    get_text(o, W_ADDR, r->addr, sizeof(r->addr)) ||
+	    get_text(o, W_TYPE, r->type, sizeof(r->type)) ||
+	    get_text(o, W_ZONE, r->zone, sizeof(r->zone)) || get_bool(o, W_SPOT, &r->spot) ||
+	    get_count(o, W_SESSION, &r->session) || get_count(o, W_SEQ, &r->seq) ||
+	    get_count(o, W_TOKEN, &r->token))
+		return -1;
+	r->notice_s = -1;
+	if (json_is_number(json_object_get(o, W_NOTICE)))
+		r->notice_s = json_number_value(json_object_get(o, W_NOTICE));
+	if (tasks && !json_is_array(tasks))
+		return -1;
+	r->tasks = calloc(json_array_size(tasks) + 1, sizeof(*r->tasks));
+	if (!r->tasks)
+		abort();
+	json_array_foreach(tasks, i, e)
+	{
+		/* A report half understood would make absence of proof look like proof. */
+		if (decode_report_task(e, &r->tasks[r->ntasks]))
+			return -1;
+		r->ntasks++;
+	}
+	return 0;
+}
+
+int wire_report_decode(const char *body, size_t len, struct report *r)
+{
+	json_t *o = wire_parse(body, len);
+	int rc;
+
+	memset(r, 0, sizeof(*r));
+	rc = json_is_object(o) ? decode_report(o, r) : -1;
+	json_decref(o);
+	if (rc)
+		wire_report_free(r);
+	return rc;
+}
+
+void wire_report_free(struct report *r)
+{
+	free(r->tasks);
+	r->tasks = NULL;
+	r->ntasks = 0;
+}
+
+static json_t *encode_commands(const struct command *cmds, size_t n)
+{
+	json_t *a = json_array();
+
+	for (size_t i = 0; i < n; i++) {
+		json_t *o = json_object();
+
+		json_object_set_new(o, W_OP, json_string(ops[cmds[i].op]));
+		json_object_set_new(o, W_TASK,
+				    json_sprintf("%s/%u", cmds[i].job, cmds[i].task));
+		json_object_set_new(o, W_ATTEMPT, json_integer((json_int_t)cmds[i].attempt));
+		if (cmds[i].op == OP_STOP)
+			json_object_set_new(o, W_GRACE, json_real(cmds[i].grace_s));
+		json_array_append_new(a, o);
+	}
+	return a;
+}
+
+char *wire_beat_answer(uint64_t token, const struct command *cmds, size_t n)
+{
+	json_t *o = json_object();
+
+	json_object_set_new(o, W_TOKEN, json_integer((json_int_t)token));
+	json_object_set_new(o, W_COMMANDS, encode_commands(cmds, n));
+	return dump(o);
+}
+
+char *wire_direct_commands(uint64_t token, uint64_t session, const struct command *cmds, size_t n)
+{
+	json_t *o = json_object();
+
+	json_object_set_new(o, W_TOKEN, json_integer((json_int_t)token));
+	json_object_set_new(o, W_SESSION, json_integer((json_int_t)session));
+	json_object_set_new(o, W_COMMANDS, encode_commands(cmds, n));
+	return dump(o);
+}
+
+char *wire_misdirected(const char *leader)
+{
+	json_t *o = json_object();
+
+	if (leader && *leader)
+		json_object_set_new(o, W_REPORT_TO, json_string(leader));
+	return dump(o);
+}
+
+static int decode_type(json_t *o, struct machine_type *t)
+{
+	json_t *zones = json_object_get(o, W_ZONES), *e;
+	size_t i;
+
+	if (get_text(o, W_NAME, t->name, sizeof(t->name)) || get_number(o, W_CPUS, &t->cpus) ||
+	    get_number(o, W_MEMORY, &t->mem_gb) || get_number(o, W_PRICE, &t->price))
+		return -1;
+	if (get_number(o, W_GPUS, &t->gpus))
+		t->gpus = 0;
+	if (get_number(o, W_CACHE, &t->cache_gb))
+		t->cache_gb = 0;
+	if (get_number(o, W_FETCH, &t->fetch_gb_per_s))
+		t->fetch_gb_per_s = 0;
+	if (get_number(o, W_SPOT_PRICE, &t->spot_price))
+		t->spot_price = t->price;
+	if (get_number(o, W_BOOT, &t->boot_s))
+		t->boot_s = 0;
+	json_array_foreach(zones, i, e)
+	{
+		const char *s = json_string_value(e);
+
+		if (s && t->nzones < WIRE_TYPES_MAX && strlen(s) < NAME_MAX_LEN)
+			strcpy(t->zones[t->nzones++], s);
+	}
+	return t->nzones ? 0 : -1;
+}
+
+int wire_types_decode(json_t *o, struct machine_type **out, size_t *n)
+{
+	json_t *a = json_object_get(o, W_TYPES), *e;
+	size_t i;
+
+	*n = 0;
+	if (!json_is_array(a) || !json_array_size(a))
+		return -1;
+	*out = calloc(json_array_size(a), sizeof(**out));
+	if (!*out)
+		abort();
+	json_array_foreach(a, i, e)
+	{
+		if (!decode_type(e, &(*out)[*n]))
+			(*n)++;
+	}
+	if (*n)
+		return 0;
+	free(*out);
+	return -1;
+}
+
+json_t *wire_types_encode(const struct machine_type *t, size_t n)
+{
+	json_t *a = json_array(), *o = json_object();
+
+	for (size_t i = 0; i < n; i++) {
+		json_t *e = json_object(), *z = json_array();
+
+		for (int k = 0; k < t[i].nzones; k++)
+			json_array_append_new(z, json_string(t[i].zones[k]));
+		json_object_set_new(e, W_NAME, json_string(t[i].name));
+		json_object_set_new(e, W_CPUS, json_real(t[i].cpus));
+		json_object_set_new(e, W_GPUS, json_real(t[i].gpus));
+		json_object_set_new(e, W_MEMORY, json_real(t[i].mem_gb));
+		json_object_set_new(e, W_CACHE, json_real(t[i].cache_gb));
+		json_object_set_new(e, W_FETCH, json_real(t[i].fetch_gb_per_s));
+		json_object_set_new(e, W_PRICE, json_real(t[i].price));
+		json_object_set_new(e, W_SPOT_PRICE, json_real(t[i].spot_price));
+		json_object_set_new(e, W_BOOT, json_real(t[i].boot_s));
+		json_object_set_new(e, W_ZONES, z);
+		json_array_append_new(a, e);
+	}
+	json_object_set_new(o, W_TYPES, a);
+	return o;
+}
+
+static int decode_listed(json_t *o, struct listed_machine *m)
+{
+	int st = name_index(listed_states, LEN(listed_states),
+			    json_string_value(json_object_get(o, W_STATE)));
+
+	if (get_text(o, W_ID, m->id, sizeof(m->id)) || !*m->id || st < 0 ||
+	    get_text(o, W_TYPE, m->type, sizeof(m->type)) ||
+	    get_text(o, W_ZONE, m->zone, sizeof(m->zone)) || get_bool(o, W_SPOT, &m->spot))
+		return -1;
+	if (get_text(o, W_ADDR, m->addr, sizeof(m->addr)))
+		m->addr[0] = 0;
+	if (get_number(o, W_AGE, &m->age_s))
+		m->age_s = 0;
+	m->state = (enum listed_state)st;
+	return 0;
+}
+
+int wire_list_decode(const char *body, size_t len, struct listed_machine **out, size_t *n, int *more)
+{
+	json_t *o = wire_parse(body, len), *a = json_object_get(o, W_MACHINES_LIST), *e;
+	size_t i;
+
+	*n = 0;
+	if (!json_is_array(a)) {
+		json_decref(o);
+		return -1;
+	}
+	*more = json_is_true(json_object_get(o, W_MORE));
+	*out = calloc(json_array_size(a) + 1, sizeof(**out));
+	if (!*out)
+		abort();
+	json_array_foreach(a, i, e)
+	{
+		if (!decode_listed(e, &(*out)[*n]))
+			(*n)++;
+	}
+	json_decref(o);
+	return 0;
+}
+
+char *wire_rental(const char *request, const char *type, const char *zone, int spot, int count)
+{
+	json_t *o = json_object();
+
+	json_object_set_new(o, W_REQUEST, json_string(request));
+	json_object_set_new(o, W_TYPE, json_string(type));
+	json_object_set_new(o, W_ZONE, json_string(zone));
+	json_object_set_new(o, W_SPOT, json_boolean(spot));
+	json_object_set_new(o, W_COUNT, json_integer(count));
+	return dump(o);
+}
+
+char *wire_delete(const char *const *ids, size_t n)
+{
+	json_t *o = json_object(), *a = json_array();
+
+	for (size_t i = 0; i < n; i++)
+		json_array_append_new(a, json_string(ids[i]));
+	json_object_set_new(o, W_MACHINES_LIST, a);
+	return dump(o);
+}
+
+int wire_rented(const char *body, size_t len, char ***ids, size_t *n)
+{
+	json_t *o = wire_parse(body, len), *a = json_object_get(o, W_MACHINES_LIST), *e;
+	size_t i;
+
+	*n = 0;
+	if (!json_is_array(a)) {
+		json_decref(o);
+		return -1;
+	}
+	*ids = calloc(json_array_size(a) + 1, sizeof(**ids));
+	if (!*ids)
+		abort();
+	json_array_foreach(a, i, e)
+	{
+		if (json_is_string(e) && strlen(json_string_value(e)) < ID_MAX)
+			(*ids)[(*n)++] = strdup(json_string_value(e));
+	}
+	json_decref(o);
+	return 0;
+}
+
+void txn_begin(struct txn *t)
+{
+	t->guards = json_array();
+	t->ops = json_array();
+}
+
+void txn_guard(struct txn *t, const char *key, uint64_t version)
+{
+	json_t *o = json_object();
+
+	json_object_set_new(o, W_KEY, json_string(key));
+	json_object_set_new(o, W_VERSION, json_integer((json_int_t)version));
+	json_array_append_new(t->guards, o);
+}
+
+void txn_put(struct txn *t, const char *key, json_t *value, uint64_t lease)
+{
+	json_t *o = json_object();
+
+	json_object_set_new(o, W_PUT, json_string(key));
+	json_object_set_new(o, W_VALUE, value);
+	if (lease)
+		json_object_set_new(o, W_LEASE, json_integer((json_int_t)lease));
+	json_array_append_new(t->ops, o);
+}
+
+void txn_drop(struct txn *t, const char *key)
+{
+	json_t *o = json_object();
+
+	json_object_set_new(o, W_DROP, json_string(key));
+	json_array_append_new(t->ops, o);
+}
+
+char *txn_finish(struct txn *t)
+{
+	json_t *o = json_object();
+
+	json_object_set_new(o, W_IF, t->guards);
+	json_object_set_new(o, W_THEN, t->ops);
+	return dump(o);
+}
+
+static uint64_t count_of(json_t *o, const char *key)
+{
+	uint64_t v = 0;
+
+	return get_count(o, key, &v) ? 0 : v;
+}
+
+uint64_t wire_revision(json_t *o)
+{
+	return count_of(o, W_REVISION);
+}
+
+uint64_t wire_lease(json_t *o)
+{
+	return count_of(o, W_LEASE);
+}
+
+char *wire_lease_body(int ttl_ms)
+{
+	json_t *o = json_object();
+
+	json_object_set_new(o, W_TTL, json_integer(ttl_ms));
+	return dump(o);
+}
+
+int wire_kv(json_t *o, struct kv_item *out)
+{
+	const char *key = json_string_value(json_object_get(o, W_KEY));
+
+	out->value = json_object_get(o, W_VALUE);
+	out->version = count_of(o, W_VERSION);
+	if (!key)
+		key = json_string_value(json_object_get(o, W_PUT));
+	if (!key) {
+		key = json_string_value(json_object_get(o, W_DROP));
+		out->value = NULL;
+	}
+	out->key = key;
+	return key ? 0 : -1;
+}
+
+void wire_items(json_t *o, void (*each)(void *ctx, const struct kv_item *it), void *ctx)
+{
+	json_t *a = json_object_get(o, W_ITEMS), *e;
+	struct kv_item it;
+	size_t i;
+
+	if (!a)
+		a = json_object_get(o, W_EVENTS);
+	json_array_foreach(a, i, e)
+	{
+		if (!wire_kv(e, &it))
+			each(ctx, &it);
+	}
+}
+
+int wire_more(json_t *o)
+{
+	return json_is_true(json_object_get(o, W_MORE));
+}
+
+int wire_failed_has(json_t *o, const char *key)
+{
+	json_t *e;
+	size_t i;
+
+	json_array_foreach(json_object_get(o, W_FAILED), i, e)
+	{
+		if (json_is_string(e) && !strcmp(json_string_value(e), key))
+			return 1;
+	}
+	return 0;
+}
--- /dev/null
+++ b/src/wire/wire.h
@@ -0,0 +1,149 @@
+/* JSON on the wire to and from the core's structs. */
+#ifndef PLOVERLOFT_WIRE_H
+#define PLOVERLOFT_WIRE_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+#include <jansson.h>
+
+#define ID_MAX 48
+#define NAME_MAX_LEN 64
+#define WIRE_TYPES_MAX 16
+
+enum job_kind { JOB_ARRAY, JOB_GANG };
+enum job_priority { PRIO_PRODUCTION, PRIO_HIGH, PRIO_NORMAL, PRIO_LOW };
+enum job_state { JS_QUEUED, JS_RUNNING, JS_DONE, JS_CANCELLED };
+
+struct job_spec {
+	char id[ID_MAX];
+	char class_name[NAME_MAX_LEN];
+	char team[NAME_MAX_LEN];
+	char image[NAME_MAX_LEN];
+	char zone[NAME_MAX_LEN]; /* empty: any */
+	char types[WIRE_TYPES_MAX][NAME_MAX_LEN];
+	int ntypes; /* 0: any */
+	enum job_kind kind;
+	enum job_priority priority;
+	uint32_t ntasks;
+	double cpus, gpus, mem_gb;
+	double image_gb;
+	double estimate_s, checkpoint_s, save_s;
+	double deadline_s; /* < 0: none */
+	int one_zone, spread, spot;
+};
+
+enum task_state { TS_FETCHING, TS_WAITING, TS_RUNNING, TS_SAVING, TS_EXITED };
+enum task_why {
+	WHY_NONE,
+	WHY_DONE,
+	WHY_STOPPED,
+	WHY_PEERS,
+	WHY_ALONE,
+	WHY_ERROR,
+	WHY_NO_ROOM,
+	WHY_BUSY,
+	WHY_UNKNOWN
+};
+
+struct report_task {
+	char job[ID_MAX];
+	uint32_t task;
+	uint64_t attempt;
+	enum task_state state;
+	enum task_why why;
+	int saved;
+};
+
+struct report {
+	char machine[ID_MAX];
+	char addr[NAME_MAX_LEN];
+	char type[NAME_MAX_LEN];
+	char zone[NAME_MAX_LEN];
+	int spot;
+	uint64_t session, seq, token;
+	double notice_s; /* < 0: none */
+	struct report_task *tasks;
+	size_t ntasks;
+};
+
+enum command_op { OP_START, OP_STOP, OP_FORGET };
+
+struct command {
+	enum command_op op;
+	char job[ID_MAX];
+	uint32_t task;
+	uint64_t attempt;
+	double grace_s;
+};
+
+struct machine_type {
+	char name[NAME_MAX_LEN];
+	double cpus, gpus, mem_gb, cache_gb, fetch_gb_per_s, price, spot_price, boot_s;
+	char zones[WIRE_TYPES_MAX][NAME_MAX_LEN];
+	int nzones;
+};
+
+enum listed_state { LS_BOOTING, LS_RUNNING, LS_FAILED };
+
+struct listed_machine {
+	char id[ID_MAX];
+	char addr[NAME_MAX_LEN];
+	char type[NAME_MAX_LEN];
+	char zone[NAME_MAX_LEN];
+	int spot;
+	enum listed_state state;
+	double age_s;
+};
+
+json_t *wire_parse(const char *body, size_t len);
+int wire_job_id_ok(const char *id);
+/* 0, or -1 with the reason; `body` is the user's words or what wire_job_encode gave. */
+int wire_job_decode(json_t *o, struct job_spec *out, const char **why);
+json_t *wire_job_encode(const struct job_spec *j);
+const char *wire_job_state(enum job_state s);
+char *wire_job_answer(const char *id, enum job_state s, uint32_t done, uint32_t running);
+
+int wire_report_decode(const char *body, size_t len, struct report *out);
+void wire_report_free(struct report *r);
+char *wire_beat_answer(uint64_t token, const struct command *cmds, size_t n);
+char *wire_direct_commands(uint64_t token, uint64_t session, const struct command *cmds, size_t n);
+char *wire_misdirected(const char *leader);
+
+int wire_types_decode(json_t *o, struct machine_type **out, size_t *n);
+json_t *wire_types_encode(const struct machine_type *t, size_t n);
+int wire_list_decode(const char *body, size_t len, struct listed_machine **out, size_t *n,
+		     int *more);
+char *wire_rental(const char *request, const char *type, const char *zone, int spot, int count);
+char *wire_delete(const char *const *ids, size_t n);
+/* Names of the machines rented, the caller frees the array and the names. */
+int wire_rented(const char *body, size_t len, char ***ids, size_t *n);
+
+/* Transactions are built piece by piece. */
+struct txn {
+	json_t *guards;
+	json_t *ops;
+};
+
+void txn_begin(struct txn *t);
+void txn_guard(struct txn *t, const char *key, uint64_t version);
+void txn_put(struct txn *t, const char *key, json_t *value, uint64_t lease);
+void txn_drop(struct txn *t, const char *key);
+char *txn_finish(struct txn *t);
+
+struct kv_item {
+	const char *key;
+	json_t *value; /* NULL: dropped */
+	uint64_t version;
+};
+
+uint64_t wire_revision(json_t *o);
+uint64_t wire_lease(json_t *o);
+char *wire_lease_body(int ttl_ms);
+int wire_kv(json_t *o, struct kv_item *out);
+/* Calls `each` for every item of a range or every event of a watch. */
+void wire_items(json_t *o, void (*each)(void *ctx, const struct kv_item *it), void *ctx);
+int wire_more(json_t *o);
+int wire_failed_has(json_t *o, const char *key);
+
+#endif
