--- a/src/constants.h
+++ b/src/constants.h
@@ -125,7 +125,7 @@
 #define CATALOG_EVERY_S 60.0	/* seconds between reads of prices by the leader */
 #define IDLE_THRIFTY_S 40.0	/* seconds idle before return where money counts: a boot costs as much */
 #define IDLE_LAVISH_S 3600.0	/* seconds where it does not */
-#define HEADROOM_LAVISH 0.6	/* free room kept, as share of use, where money is no aim */
+#define HEADROOM_LAVISH 0.6	/* free room kept, as share of use, where a guarantee stands */
 #define HEADROOM_LAVISH_MIN 6	/* tasks of free room at least there */
 
 #endif
--- a/src/core/jobs.c
+++ b/src/core/jobs.c
@@ -86,7 +86,8 @@
 
 void job_task_done(struct core *c, struct job *j, uint32_t task)
 {
-	if (j->ghost || task >= j->spec.ntasks || job_bit(j->done, task))
+	if (j->ghost || task >= j->spec.ntasks || job_bit(j->done, task) ||
+	    j->spec.kind == JOB_SERVICE)
 		return;
 	bit_set(j->done, task, true);
 	j->ndone++;
@@ -297,7 +298,8 @@
 	struct job *j = job_find(c, id);
 	struct binding *b;
 
-	if (!j || j->ghost || task >= j->spec.ntasks || job_bit(j->done, task))
+	if (!j || j->ghost || task >= j->spec.ntasks || job_bit(j->done, task) ||
+	    j->spec.kind == JOB_SERVICE)
 		return;
 	for (uint32_t t = 0; t < j->spec.ntasks; t++)
 		if (t == task || j->spec.kind == JOB_GANG)
--- a/src/core/place.c
+++ b/src/core/place.c
@@ -160,6 +160,20 @@
 	return false;
 }
 
+static bool place_task(struct core *c, struct job *j);
+
+/* A service starts as a whole; what it loses later is replaced task by task. */
+static bool place_service(struct core *c, struct job *j)
+{
+	if (!j->bindings && !team_has_room(c, &j->spec, j->spec.ntasks))
+		return false;
+	if (!j->bindings)
+		return place_gang(c, j);
+	while (place_task(c, j))
+		;
+	return job_waiting(j) == 0;
+}
+
 static bool place_task(struct core *c, struct job *j)
 {
 	struct machine *m;
@@ -248,7 +262,7 @@
 	for (size_t i = 0; i < n; i++) {
 		if (jobs[i]->spec.kind == JOB_ARRAY)
 			arrays[narrays++] = jobs[i];
-		else if (!place_gang(c, jobs[i]))
+		else if (!(jobs[i]->spec.kind == JOB_GANG ? place_gang : place_service)(c, jobs[i]))
 			preempt_for(c, jobs[i]);
 	}
 	serve_arrays(c, arrays, narrays);
--- a/src/core/rent.c
+++ b/src/core/rent.c
@@ -215,9 +215,14 @@
 	return rent_thrifty(c) ? IDLE_THRIFTY_S : IDLE_LAVISH_S;
 }
 
+/*
+ * A guarantee is a standing promise of room, so room is kept standing for it. Without one, or
+ * with an aim in money, machines are rented for work and returned after it.
+ */
 bool rent_thrifty(const struct core *c)
 {
-	return conf_has(c->conf, OBJ_PRICE) || conf_has(c->conf, OBJ_USEFUL);
+	return !conf_has(c->conf, OBJ_GUARANTEE) || conf_has(c->conf, OBJ_PRICE) ||
+	       conf_has(c->conf, OBJ_USEFUL);
 }
 
 static void notice_look(struct core *c, struct machine *m)
--- a/src/core/teams.c
+++ b/src/core/teams.c
@@ -28,7 +28,7 @@
 
 bool team_ever_fits(const struct conf *conf, const struct job_spec *s)
 {
-	uint32_t n = s->kind == JOB_GANG ? s->ntasks : 1;
+	uint32_t n = s->kind == JOB_ARRAY ? 1 : s->ntasks;
 
 	for (size_t i = 0; i < conf->nteams; i++) {
 		const struct conf_team *t = &conf->teams[i];
--- a/src/wire/json.c
+++ b/src/wire/json.c
@@ -10,6 +10,7 @@
 
 static const char *const priority_names[] = {W_PRIO_PRODUCTION, W_PRIO_HIGH, W_PRIO_NORMAL,
 					     W_PRIO_LOW};
+static const char *const kind_names[] = {W_KIND_ARRAY, W_KIND_GANG, W_KIND_SERVICE};
 static const char *const job_states[] = {W_ST_QUEUED, W_ST_RUNNING, W_ST_DONE, W_ST_CANCELLED};
 static const char *const task_states[] = {W_TS_FETCHING, W_TS_WAITING, W_TS_RUNNING, W_TS_SAVING,
 					  W_TS_EXITED};
@@ -181,9 +182,9 @@
 	*why = W_KIND;
 	if (get_text(o, W_KIND, word, sizeof(word)))
 		return -1;
-	if (strcmp(word, W_KIND_ARRAY) && strcmp(word, W_KIND_GANG))
+	if ((i = name_index(kind_names, LEN(kind_names), word)) < 0)
 		return -1;
-	j->kind = strcmp(word, W_KIND_GANG) ? JOB_ARRAY : JOB_GANG;
+	j->kind = (enum job_kind)i;
 	*why = W_PRIORITY;
 	if (get_text(o, W_PRIORITY, word, sizeof(word)))
 		return -1;
@@ -207,7 +208,7 @@
 	json_object_set_new(o, W_CLASS, json_string(j->class_name));
 	json_object_set_new(o, W_TEAM, json_string(j->team));
 	json_object_set_new(o, W_KIND,
-			    json_string(j->kind == JOB_GANG ? W_KIND_GANG : W_KIND_ARRAY));
+			    json_string(kind_names[j->kind]));
 	json_object_set_new(o, W_PRIORITY, json_string(priority_names[j->priority]));
 	json_object_set_new(o, W_TASKS, json_integer(j->ntasks));
 	json_object_set_new(o, W_CPUS, json_real(j->cpus));
--- a/src/wire/names.h
+++ b/src/wire/names.h
@@ -29,6 +29,7 @@
 #define W_KIND "feitio"
 #define W_KIND_ARRAY "array"
 #define W_KIND_GANG "group"
+#define W_KIND_SERVICE "standing"
 #define W_PRIORITY "vez"
 #define W_PRIO_PRODUCTION "production"
 #define W_PRIO_HIGH "urgent"
--- a/src/wire/wire.h
+++ b/src/wire/wire.h
@@ -11,7 +11,8 @@
 #define NAME_MAX_LEN 64
 #define WIRE_TYPES_MAX 16
 
-enum job_kind { JOB_ARRAY, JOB_GANG };
+/* A service's tasks run until its user cancels it: one that ends is started again. */
+enum job_kind { JOB_ARRAY, JOB_GANG, JOB_SERVICE };
 enum job_priority { PRIO_PRODUCTION, PRIO_HIGH, PRIO_NORMAL, PRIO_LOW };
 enum job_state { JS_QUEUED, JS_RUNNING, JS_DONE, JS_CANCELLED };
 
