--- a/daemon/main.c
+++ b/daemon/main.c
@@ -48,15 +48,16 @@
 }
 
 static const struct argp_option options[] = {
-	{"config", 'c', "FILE", 0, "settings that the platform hands over (TOML)", 0},
-	{"operator-config", 'o', "FILE", 0, "the operators' own settings (HCL-like, read by libconfuse)", 0},
-	{"check", 'k', NULL, 0, "check the settings and end", 0},
-	{0},
+    {"config", 'c', "FILE", 0, "settings that the platform hands over (TOML)", 0},
+    {"operator-config", 'o', "FILE", 0,
+     "the operators' own settings (HCL-like, read by libconfuse)", 0},
+    {"check", 'k', NULL, 0, "check the settings and end", 0},
+    {0},
 };
 
-static const struct argp argp = {options, parse_arg, NULL,
-				 "A controller of the ploverloft cluster scheduler.", NULL, NULL,
-				 NULL};
+static const struct argp argp = {
+    options, parse_arg, NULL, "A controller of the ploverloft cluster scheduler.",
+    NULL,    NULL,	NULL};
 
 struct daemon {
 	struct net *net;
@@ -79,7 +80,7 @@
 		if (a->kind == ACT_ANSWER) {
 			net_answer(d->net, a->id, a->status, a->retry_after, a->body, a->len);
 		} else {
-			struct net_call call = {a->id,	 a->addr, a->method,	a->path,
+			struct net_call call = {a->id,	 a->addr, a->method,   a->path,
 						a->body, a->len,  a->timeout_s};
 
 			net_send(d->net, &call);
@@ -92,8 +93,8 @@
 		       const char *path, const char *body, size_t len)
 {
 	struct daemon *d = ctx;
-	struct core_request r = {conn, side == NET_FRONT ? CORE_FRONT : CORE_BACK,
-				 method, path, body, len};
+	struct core_request r = {
+	    conn, side == NET_FRONT ? CORE_FRONT : CORE_BACK, method, path, body, len};
 
 	core_request(d->core, now(), &r);
 }
--- a/src/conf/conf.h
+++ b/src/conf/conf.h
@@ -60,7 +60,7 @@
 	double cores, mem_mb;
 	int max_connections;
 	/* operators' own */
-	double idle_patience_s;	/* seconds an idle machine is kept; < 0: from the objectives */
+	double idle_patience_s; /* seconds an idle machine is kept; < 0: from the objectives */
 	double headroom;	/* share of room kept free where money is no aim; < 0: default */
 };
 
--- a/src/conf/hcl.c
+++ b/src/conf/hcl.c
@@ -18,8 +18,8 @@
 
 static void on_error(cfg_t *cfg, const char *fmt, va_list ap)
 {
-	int n = snprintf(hcl_error, sizeof(hcl_error), "%s:%d: ", cfg->filename ? cfg->filename : "?",
-			 cfg->line);
+	int n = snprintf(hcl_error, sizeof(hcl_error),
+			 "%s:%d: ", cfg->filename ? cfg->filename : "?", cfg->line);
 
 	if (n > 0 && n < (int)sizeof(hcl_error))
 		vsnprintf(hcl_error + n, sizeof(hcl_error) - (size_t)n, fmt, ap);
@@ -29,8 +29,8 @@
 {
 	if (v >= 0 && v <= most)
 		return 0;
-	snprintf(err, CONF_ERR_MAX, "%s: field rentals.%s: must be a number from 0 to %g", path, key,
-		 most);
+	snprintf(err, CONF_ERR_MAX, "%s: field rentals.%s: must be a number from 0 to %g", path,
+		 key, most);
 	return -1;
 }
 
@@ -38,7 +38,8 @@
 {
 	if (cfg_size(rentals, "idle_patience_s")) {
 		c->idle_patience_s = cfg_getfloat(rentals, "idle_patience_s");
-		if (check(path, "idle_patience_s", c->idle_patience_s, OPERATOR_PATIENCE_MAX_S, err))
+		if (check(path, "idle_patience_s", c->idle_patience_s, OPERATOR_PATIENCE_MAX_S,
+			  err))
 			return -1;
 	}
 	if (cfg_size(rentals, "headroom")) {
@@ -62,8 +63,8 @@
 	switch (cfg_parse(cfg, path)) {
 	case CFG_SUCCESS:
 		rc = cfg_size(cfg, "rentals")
-			     ? take_rentals(c, path, cfg_getsec(cfg, "rentals"), err)
-			     : 0;
+			 ? take_rentals(c, path, cfg_getsec(cfg, "rentals"), err)
+			 : 0;
 		break;
 	case CFG_FILE_ERROR:
 		snprintf(err, CONF_ERR_MAX, "%s: cannot be read", path);
--- a/src/conf/toml.cc
+++ b/src/conf/toml.cc
@@ -47,7 +47,8 @@
 		if (!v.is_number() || !d)
 			return fail(field, "must be a number");
 		if (!(*d >= least) || *d > 1e12)
-			return fail(field, least > 0 ? "must be above zero" : "must not be negative");
+			return fail(field,
+				    least > 0 ? "must be above zero" : "must not be negative");
 		*out = *d;
 	}
 
@@ -64,9 +65,9 @@
 	static const struct {
 		const char *name;
 		objective_kind kind;
-	} kinds[] = {{"wait", OBJ_WAIT},	   {"finished", OBJ_FINISHED},
-		     {"deadline", OBJ_DEADLINE},   {"guarantee", OBJ_GUARANTEE},
-		     {"useful", OBJ_USEFUL},	   {"makespan", OBJ_MAKESPAN},
+	} kinds[] = {{"wait", OBJ_WAIT},	 {"finished", OBJ_FINISHED},
+		     {"deadline", OBJ_DEADLINE}, {"guarantee", OBJ_GUARANTEE},
+		     {"useful", OBJ_USEFUL},	 {"makespan", OBJ_MAKESPAN},
 		     {"price", OBJ_PRICE}};
 
 	for (const auto &k : kinds)
@@ -153,8 +154,8 @@
 	r.number(f["cloud"]["list_lag_s"], "facts.cloud.list_lag_s", &c->list_lag_s, true, 0);
 	r.number(f["resources"]["cores"], "facts.resources.cores", &c->cores, true, some);
 	r.number(f["resources"]["mem_mb"], "facts.resources.mem_mb", &c->mem_mb, true, 8);
-	r.number(f["resources"]["max_connections"], "facts.resources.max_connections", &conns,
-		 true, 64);
+	r.number(f["resources"]["max_connections"], "facts.resources.max_connections", &conns, true,
+		 64);
 	c->txn_ops = static_cast<int>(ops);
 	c->max_connections = static_cast<int>(conns);
 }
--- a/src/constants.h
+++ b/src/constants.h
@@ -8,102 +8,106 @@
 #define PLOVERLOFT_VERSION "0.1.0"
 
 /* --- net --- */
-#define NET_ADDR_MAX 64		/* bytes: "255.255.255.255:65535" with room */
-#define NET_BACKLOG 256		/* connections: a burst of users within one late turn */
-#define NET_READ_CHUNK 8192	/* bytes: most messages in one system call */
-#define NET_EVENTS 64		/* events taken per epoll_wait: bounds one turn */
-#define NET_ACCEPT_BATCH 32	/* connections taken per turn: answers are not starved */
-#define NET_CONNS_RESERVED 64	/* sockets kept back for our own calls to state, cloud, workers */
-#define NET_SLOW_S 10.0		/* seconds a half-sent request may take: it holds a socket */
-#define NET_IDLE_S 40.0		/* seconds a kept client connection idles: reconnects cost more */
-#define NET_SWEEP_MS 100	/* milliseconds between looks at deadlines: their precision */
-
-#define NET_FILES 8		/* files beside connections: listeners, epoll, standard ones */
+#define NET_ADDR_MAX 64	      /* bytes: "255.255.255.255:65535" with room */
+#define NET_BACKLOG 256	      /* connections: a burst of users within one late turn */
+#define NET_READ_CHUNK 8192   /* bytes: most messages in one system call */
+#define NET_EVENTS 64	      /* events taken per epoll_wait: bounds one turn */
+#define NET_ACCEPT_BATCH 32   /* connections taken per turn: answers are not starved */
+#define NET_CONNS_RESERVED 64 /* sockets kept back for our own calls to state, cloud, workers */
+#define NET_SLOW_S 10.0	      /* seconds a half-sent request may take: it holds a socket */
+#define NET_IDLE_S 40.0	      /* seconds a kept client connection idles: reconnects cost more */
+#define NET_SWEEP_MS 100      /* milliseconds between looks at deadlines: their precision */
+
+#define NET_FILES 8 /* files beside connections: listeners, epoll, standard ones */
 
 /* --- http --- */
-#define HTTP_HEAD_MAX 8192	 /* bytes of request line and headers: ours have a few hundred */
-#define HTTP_PATH_MAX 512	 /* bytes: longest path is a key of 200 bytes and a query */
+#define HTTP_HEAD_MAX 8192	  /* bytes of request line and headers: ours have a few hundred */
+#define HTTP_PATH_MAX 512	  /* bytes: longest path is a key of 200 bytes and a query */
 #define HTTP_BODY_MAX (64 * 1024) /* bytes, from the protocol */
 #define HTTP_REPLY_MAX (8 * 1024 * 1024) /* bytes: a watch's answer has no limit of its own */
 
 /* --- wire --- */
-#define JOB_TASKS_MAX 100000	/* tasks of one job, from the protocol */
-#define WIRE_NUMBER_MAX 1e9	/* amounts above this are mistakes: 30 years, a billion CPUs */
+#define JOB_TASKS_MAX 100000 /* tasks of one job, from the protocol */
+#define WIRE_NUMBER_MAX 1e9  /* amounts above this are mistakes: 30 years, a billion CPUs */
 
 /* --- operators' settings --- */
 #define OPERATOR_PATIENCE_MAX_S 86400.0 /* seconds: a day idle is as good as for ever */
 #define OPERATOR_HEADROOM_MAX 4.0	/* share of the use: five times the use is rented at most */
 
 /* --- calls --- */
-#define CALL_STATE_S 1.5	/* seconds: answers take 10 ms, now and then some hundred */
-#define CALL_CLOUD_S 8.0	/* seconds: rentals are answered in some hundred ms */
-#define CALL_WORKER_S 2.5	/* seconds: below it a retry by report is no faster */
-#define CALL_PEER_S 1.5		/* seconds: a user waits 2 s for a poll */
+#define CALL_STATE_S 1.5  /* seconds: answers take 10 ms, now and then some hundred */
+#define CALL_CLOUD_S 8.0  /* seconds: rentals are answered in some hundred ms */
+#define CALL_WORKER_S 2.5 /* seconds: below it a retry by report is no faster */
+#define CALL_PEER_S 1.5	  /* seconds: a user waits 2 s for a poll */
 
 /* --- core --- */
 #define TICK_S 0.1 /* seconds between looks at due times: below what any of them needs */
 
 /* --- election --- */
-#define LEADER_TTL_MS 2500	/* ms: take-over time against false losses when the state is slow */
-#define LEADER_RENEW_S 0.7	/* seconds: three tries within the lease */
-#define LEADER_RETRY_S 0.3	/* seconds between tries of a renewal that failed */
-#define LEADER_WATCH_MS 9000	/* ms a watch blocks: few requests, and a dead one is noticed */
+#define LEADER_TTL_MS 2500   /* ms: take-over time against false losses when the state is slow */
+#define LEADER_RENEW_S 0.7   /* seconds: three tries within the lease */
+#define LEADER_RETRY_S 0.3   /* seconds between tries of a renewal that failed */
+#define LEADER_WATCH_MS 9000 /* ms a watch blocks: few requests, and a dead one is noticed */
 #define LEADER_WATCH_SLACK_S 2.0 /* seconds beyond the watch's time before it counts as lost */
-#define LEADER_REREAD_S 0.4	/* seconds before reading the key again after a failure */
-#define LEADER_YIELD_S 8.0	/* seconds a leader that hears no worker stands back */
-#define CLOCK_DRIFT 0.001	/* share: two clocks, 0.05% each */
-#define CANCEL_MARGIN_S 2.0	/* seconds off cancel_s: a late turn, and the way of messages */
+#define LEADER_REREAD_S 0.4	 /* seconds before reading the key again after a failure */
+#define LEADER_YIELD_S 8.0	 /* seconds a leader that hears no worker stands back */
+#define CLOCK_DRIFT 0.001	 /* share: two clocks, 0.05% each */
+#define CANCEL_MARGIN_S 2.0	 /* seconds off cancel_s: a late turn, and the way of messages */
 
 /* --- users --- */
-#define USER_QUEUE_MAX 400	/* waiting submissions: beyond it 429, they would wait seconds */
-#define USER_READS_MAX 300	/* reads under way for users: beyond it 429 */
-#define USER_WAIT_S 3.5		/* seconds: a user gives up at 5, the answer has to travel */
-#define RETRY_AFTER_S 1		/* seconds: the least a user waits anyway */
-#define RETRY_AFTER_BUSY_S 2	/* seconds: a full queue drains in about this time */
-#define FINAL_CACHE_MAX 4096	/* final states kept: about 0.5 MB; the oldest go first */
-#define SUBMIT_BATCH_BYTES 48000 /* bytes of one transaction of submissions: 64 KiB is its limit */
+#define USER_QUEUE_MAX 400	 /* waiting submissions: beyond it 429, they would wait seconds */
+#define USER_READS_MAX 300	 /* reads under way for users: beyond it 429 */
+#define USER_WAIT_S 3.5		 /* seconds: a user gives up at 5, the answer has to travel */
+#define RETRY_AFTER_S 1		 /* seconds: the least a user waits anyway */
+#define RETRY_AFTER_BUSY_S 2	 /* seconds: a full queue drains in about this time */
+#define FINAL_CACHE_MAX 4096	 /* final states kept: about 0.5 MB; the oldest go first */
+#define SUBMIT_BATCH_BYTES 48000 /* bytes of one transaction of submissions: 64 KiB is its limit   \
+				  */
 
 /* --- commits --- */
 #define COMMIT_BYTES 48000	/* bytes of one transaction: 64 KiB is the limit, keys included */
 #define COMMIT_RETRY_S 0.25	/* seconds before a refused transaction is sent again */
-#define WRITE_SHARE_LEADER 0.85	/* share of write_rps the leader uses: the rest takes submissions */
+#define WRITE_SHARE_LEADER 0.85 /* share of write_rps the leader uses: the rest takes submissions  \
+				 */
 #define DONE_CHUNK_TASKS 16384	/* tasks whose done bits share one key: 2.7 KB as base64 */
 #define MACHINE_TASKS_MAX 140	/* bindings on a machine: one value of 8 KiB holds them */
 #define ATTEMPT_SHIFT 20	/* bits: a million starts under one token */
 
 /* --- load --- */
-#define RANGE_LIMIT 500		/* items per page: pages stay below 512 KiB */
-#define JOBS_WATCH_MS 9000	/* ms the jobs' watch blocks */
+#define RANGE_LIMIT 500	   /* items per page: pages stay below 512 KiB */
+#define JOBS_WATCH_MS 9000 /* ms the jobs' watch blocks */
 
 /* --- machines --- */
 #define MACHINE_FRESH_REPORTS 2.5 /* reports missed before a machine gets no new tasks */
-#define MACHINE_DEAD_MARGIN_S 1.0 /* seconds beyond the worker's lease: its tasks are lost anyway */
+#define MACHINE_DEAD_MARGIN_S 1.0 /* seconds beyond the worker's lease: its tasks are lost anyway  \
+				   */
 #define MACHINE_SHOW_S 3.0	/* seconds between questions to a machine not heard of this term */
-#define MACHINE_BOOT_FACTOR 3.0	/* times the boot time before a machine counts as never coming up */
+#define MACHINE_BOOT_FACTOR 3.0 /* times the boot time before a machine counts as never coming up  \
+				 */
 #define MACHINE_BOOT_EXTRA_S 20.0 /* seconds on top: short boots vary more */
-#define MACHINE_GONE_LISTS 2	/* lists without it before a listed, silent machine is deleted */
-#define MACHINE_FAULT_JOBS 2	/* different jobs that fail on a machine before it is drained */
-#define MACHINE_IMAGES 8	/* images remembered per machine: a guess at its cache */
-#define START_RESEND_S 1.5	/* seconds before a start or stop not yet seen is sent again */
-#define COMMANDS_MAX 300	/* commands in one message: 64 KiB is the limit of a line */
-#define FENCE_EVERY_S 2.0	/* seconds between new tokens for the sake of unanswered commands */
-#define LISTED_EVERY_S 3.0	/* seconds between machine lists: they lag by more */
-#define MACHINES_EVERY_S 0.5	/* seconds between looks at all machines */
-#define CUT_SHARE 0.7		/* share of machines silent at once: then it is us who are cut */
-#define CUT_MACHINES 3		/* machines heard of before that share means anything */
+#define MACHINE_GONE_LISTS 2	  /* lists without it before a listed, silent machine is deleted */
+#define MACHINE_FAULT_JOBS 2	  /* different jobs that fail on a machine before it is drained */
+#define MACHINE_IMAGES 8	  /* images remembered per machine: a guess at its cache */
+#define START_RESEND_S 1.5	  /* seconds before a start or stop not yet seen is sent again */
+#define COMMANDS_MAX 300	  /* commands in one message: 64 KiB is the limit of a line */
+#define FENCE_EVERY_S 2.0    /* seconds between new tokens for the sake of unanswered commands */
+#define LISTED_EVERY_S 3.0   /* seconds between machine lists: they lag by more */
+#define MACHINES_EVERY_S 0.5 /* seconds between looks at all machines */
+#define CUT_SHARE 0.7	     /* share of machines silent at once: then it is us who are cut */
+#define CUT_MACHINES 3	     /* machines heard of before that share means anything */
 
 /* --- scheduling --- */
-#define ROUND_MIN_S 0.004	/* seconds between rounds of decisions when nothing presses */
-#define ROUND_AGAIN_S 0.5	/* seconds between rounds without an event: backoffs end by time */
-#define ROUND_JOB_S 0.0002	/* seconds more per waiting job: rounds widen with the load */
-#define ERROR_BACKOFF_S 2.0	/* seconds after a first failure; doubles */
+#define ROUND_MIN_S 0.004	 /* seconds between rounds of decisions when nothing presses */
+#define ROUND_AGAIN_S 0.5	 /* seconds between rounds without an event: backoffs end by time */
+#define ROUND_JOB_S 0.0002	 /* seconds more per waiting job: rounds widen with the load */
+#define ERROR_BACKOFF_S 2.0	 /* seconds after a first failure; doubles */
 #define ERROR_BACKOFF_MAX_S 60.0 /* seconds: a job that fails everywhere costs one try a minute */
-#define ERROR_JOB_MACHINES 4	/* machines remembered on which a job failed */
-#define REFUSED_BACKOFF_S 1.0	/* seconds after a refused start: the description is on its way */
-#define GPU_WASTE_S 3.0		/* seconds: what taking room beside unused GPUs is worth in waiting */
-#define FIT_WEIGHT_S 0.5	/* seconds: the best fit matters less than a held image */
-#define PREEMPT_AFTER_S 0.2	/* seconds of waiting before lower work is stopped */
-#define PREEMPT_AGAIN_S 12.0	/* seconds before more is stopped for the same job */
+#define ERROR_JOB_MACHINES 4	 /* machines remembered on which a job failed */
+#define REFUSED_BACKOFF_S 1.0	 /* seconds after a refused start: the description is on its way */
+#define GPU_WASTE_S 3.0	     /* seconds: what taking room beside unused GPUs is worth in waiting */
+#define FIT_WEIGHT_S 0.5     /* seconds: the best fit matters less than a held image */
+#define PREEMPT_AFTER_S 0.2  /* seconds of waiting before lower work is stopped */
+#define PREEMPT_AGAIN_S 12.0 /* seconds before more is stopped for the same job */
 
 /* --- rentals --- */
 #define RENT_EVERY_S 0.5	/* seconds between looks at what is missing */
@@ -117,15 +121,16 @@
 #define TOMB_S 60.0		/* seconds a deleted machine may still be listed */
 #define NOTICE_MARGIN_S 2.0	/* seconds beyond the save: the stop has to arrive */
 #define RENT_REFUSED_S 10.0	/* seconds before a refused type, zone and kind is asked again */
-#define RENT_REFUSED_MAX_S 40.0	/* seconds: capacity may come back any time */
+#define RENT_REFUSED_MAX_S 40.0 /* seconds: capacity may come back any time */
 #define RENT_BATCH_MAX 50	/* machines per request, from the protocol */
 #define RENT_TASKS_MAX 400	/* waiting tasks looked at per round */
 #define DELETE_BATCH_MAX 100	/* names per request, from the protocol */
 #define CLOUD_BACKOFF_S 1.5	/* seconds after 429, 503 or no answer */
 #define CATALOG_EVERY_S 60.0	/* seconds between reads of prices by the leader */
-#define IDLE_THRIFTY_S 40.0	/* seconds idle before return where money counts: a boot costs as much */
-#define IDLE_LAVISH_S 3600.0	/* seconds where it does not */
-#define HEADROOM_LAVISH 0.6	/* free room kept, as share of use, where a guarantee stands */
-#define HEADROOM_LAVISH_MIN 6	/* tasks of free room at least there */
+#define IDLE_THRIFTY_S                                                                             \
+	40.0 /* seconds idle before return where money counts: a boot costs as much */
+#define IDLE_LAVISH_S 3600.0  /* seconds where it does not */
+#define HEADROOM_LAVISH 0.6   /* free room kept, as share of use, where a guarantee stands */
+#define HEADROOM_LAVISH_MIN 6 /* tasks of free room at least there */
 
 #endif
--- a/src/core/commit.c
+++ b/src/core/commit.c
@@ -47,8 +47,7 @@
 		return;
 	j->final_queued = true;
 	/* The final record stands for the done bits that were still to be written. */
-	DL_FOREACH_SAFE(c->writes, w, tmp)
-	{
+	DL_FOREACH_SAFE (c->writes, w, tmp) {
 		if (w->kind == WR_DONE && w->obj == j) {
 			DL_DELETE(c->writes, w);
 			free(w);
@@ -61,8 +60,7 @@
 {
 	struct write *w, *tmp;
 
-	DL_FOREACH_SAFE(*list, w, tmp)
-	{
+	DL_FOREACH_SAFE (*list, w, tmp) {
 		DL_DELETE(*list, w);
 		free(w);
 	}
@@ -86,10 +84,10 @@
 {
 	const struct write *w;
 
-	DL_FOREACH(c->writes, w)
+	DL_FOREACH (c->writes, w)
 		if (w->obj == obj)
 			return true;
-	DL_FOREACH(c->flight.items, w)
+	DL_FOREACH (c->flight.items, w)
 		if (w->obj == obj)
 			return true;
 	return false;
@@ -119,7 +117,7 @@
 	json_t *list = json_array();
 	struct binding *b;
 
-	DL_FOREACH2(m->bindings, b, mnext)
+	DL_FOREACH2 (m->bindings, b, mnext)
 		json_array_append_new(list, json_pack("[s,i,I]", b->job->spec.id, (int)b->task,
 						      (json_int_t)b->attempt));
 	return json_pack("{s:s,s:s,s:s,s:b,s:o}", "addr", m->addr, "type", m->type_name, "zone",
@@ -197,7 +195,7 @@
 			txn_put(t, key, machine_value(m), 0);
 		m->dirty = false;
 		m->flying = true;
-		DL_FOREACH2(m->bindings, b, mnext)
+		DL_FOREACH2 (m->bindings, b, mnext)
 			b->flying = true;
 	} else if (w->kind == WR_DONE) {
 		struct job *j = w->obj;
@@ -220,8 +218,7 @@
 
 	m->flying = false;
 	m->version = m->dropping ? 0 : revision;
-	DL_FOREACH2(m->bindings, b, mnext)
-	{
+	DL_FOREACH2 (m->bindings, b, mnext) {
 		if (b->flying && !b->committed) {
 			b->committed = true;
 			workers_kick(c, m);
@@ -248,8 +245,7 @@
 {
 	struct write *w, *tmp;
 
-	DL_FOREACH_SAFE(c->flight.items, w, tmp)
-	{
+	DL_FOREACH_SAFE (c->flight.items, w, tmp) {
 		DL_DELETE(c->flight.items, w);
 		if (w->kind == WR_MACHINE) {
 			machine_committed(c, w->obj, revision);
@@ -278,8 +274,7 @@
 {
 	struct write *w, *tmp;
 
-	DL_FOREACH_SAFE(c->flight.items, w, tmp)
-	{
+	DL_FOREACH_SAFE (c->flight.items, w, tmp) {
 		DL_DELETE(c->flight.items, w);
 		if (w->kind == WR_MACHINE) {
 			struct machine *m = w->obj;
@@ -310,8 +305,7 @@
 	struct write *w;
 	char k[KEY_MAX];
 
-	DL_FOREACH(c->flight.items, w)
-	{
+	DL_FOREACH (c->flight.items, w) {
 		if (w->kind == WR_MACHINE) {
 			key_machine(k, w->obj);
 			if (!strcmp(k, key))
@@ -356,8 +350,7 @@
 	if (--c->flight.reads_out == 0) {
 		struct write *w, *tmp;
 
-		DL_FOREACH_SAFE(c->flight.items, w, tmp)
-		{
+		DL_FOREACH_SAFE (c->flight.items, w, tmp) {
 			struct job *j = w->obj;
 
 			if (w->kind != WR_FINAL || !j->final_done)
@@ -377,8 +370,7 @@
 	char key[KEY_MAX];
 
 	c->flight.reads_out = 0;
-	DL_FOREACH(c->flight.items, w)
-	{
+	DL_FOREACH (c->flight.items, w) {
 		if (w->kind == WR_MACHINE)
 			key_machine(key, w->obj);
 		else if (w->kind == WR_DONE)
@@ -483,8 +475,7 @@
 
 	txn_begin(&t);
 	txn_guard(&t, LEADER_KEY, c->el.token);
-	DL_FOREACH_SAFE(c->writes, w, tmp)
-	{
+	DL_FOREACH_SAFE (c->writes, w, tmp) {
 		int n = write_ops(w);
 
 		if (w->kind == WR_MACHINE && write_needless(w->obj)) {
--- a/src/core/core.c
+++ b/src/core/core.c
@@ -60,8 +60,8 @@
 	return a;
 }
 
-struct call *core_call(struct core *c, const char *addr, const char *method, char *path,
-		       char *body, double timeout_s, call_fn fn, void *arg)
+struct call *core_call(struct core *c, const char *addr, const char *method, char *path, char *body,
+		       double timeout_s, call_fn fn, void *arg)
 {
 	struct call *call = calloc(1, sizeof(*call));
 	struct core_action *a;
@@ -150,7 +150,8 @@
 	workers_tick(c);
 }
 
-/* The parts look at their own due times; a coarse beat covers them, rounds and commits come first. */
+/* The parts look at their own due times; a coarse beat covers them, rounds and commits come first.
+ */
 double core_next(const struct core *c)
 {
 	double next = c->now + TICK_S;
@@ -185,9 +186,10 @@
 	users_clear(c);
 	while ((a = core_take(c)))
 		core_action_free(a);
-	HASH_ITER(hh, c->calls, call, tmp)
-	{
+	HASH_ITER (hh, c->calls, call, tmp) {
 		HASH_DEL(c->calls, call);
+		if (call->drop)
+			call->drop(call->arg);
 		free(call);
 	}
 	free(c->types);
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -16,7 +16,7 @@
 
 struct core_action {
 	enum core_action_kind kind;
-	uint64_t id;	    /* of the call, or the connection answered */
+	uint64_t id; /* of the call, or the connection answered */
 	char addr[CONF_NAME_MAX];
 	const char *method;
 	char *path;
@@ -24,7 +24,7 @@
 	size_t len;
 	double timeout_s;
 	int status;
-	int retry_after;    /* seconds; 0: none */
+	int retry_after; /* seconds; 0: none */
 	struct core_action *prev, *next;
 };
 
--- a/src/core/election.c
+++ b/src/core/election.c
@@ -71,8 +71,8 @@
 bool election_may_serve(const struct core *c)
 {
 	const struct conf *f = c->conf;
-	double span = (f->cancel_s - f->lease_s * (1 + CLOCK_DRIFT)) * (1 - CLOCK_DRIFT) -
-		      CANCEL_MARGIN_S;
+	double span =
+	    (f->cancel_s - f->lease_s * (1 + CLOCK_DRIFT)) * (1 - CLOCK_DRIFT) - CANCEL_MARGIN_S;
 
 	return c->el.role == ROLE_LEAD && c->now - c->el.renewed < span;
 }
--- a/src/core/jobs.c
+++ b/src/core/jobs.c
@@ -116,8 +116,7 @@
 		return;
 	j->cancelled = true;
 	log_info("job_cancelled", "job=%s bound=%u", j->spec.id, j->nbound);
-	DL_FOREACH_SAFE2(j->bindings, b, tmp, jnext)
-	{
+	DL_FOREACH_SAFE2 (j->bindings, b, tmp, jnext) {
 		/* A start that never left needs no proof of its end. */
 		if (!b->loaded && !b->sent_session && !b->beat_seq)
 			binding_end(c, b, WHY_STOPPED);
@@ -150,7 +149,7 @@
 	if (b->task >= j->spec.ntasks || job_bit(j->bound, b->task) == on)
 		return;
 	/* Records of an older leader may bind a task twice: it is free when both have ended. */
-	DL_FOREACH2(j->bindings, o, jnext)
+	DL_FOREACH2 (j->bindings, o, jnext)
 		if (!on && o != b && o->task == b->task)
 			return;
 	bit_set(j->bound, b->task, on);
@@ -201,8 +200,7 @@
 	if (j->ndone)
 		return;
 	j->gang_stopping = true;
-	DL_FOREACH2(j->bindings, b, jnext)
-	{
+	DL_FOREACH2 (j->bindings, b, jnext) {
 		/* An orderly stop under way must not be cut short: the others are saving. */
 		if (why != WHY_STOPPED || !b->stopping)
 			binding_stop(c, b, 0);
@@ -304,7 +302,7 @@
 	for (uint32_t t = 0; t < j->spec.ntasks; t++)
 		if (t == task || j->spec.kind == JOB_GANG)
 			job_task_done(c, j, t);
-	DL_FOREACH2(j->bindings, b, jnext)
+	DL_FOREACH2 (j->bindings, b, jnext)
 		if (job_bit(j->done, b->task))
 			binding_stop(c, b, 0);
 	job_settle(c, j);
--- a/src/core/load.c
+++ b/src/core/load.c
@@ -1,4 +1,5 @@
-/* Take-over: all records are read before anything is decided; then the jobs' key range is watched. */
+/* Take-over: all records are read before anything is decided; then the jobs' key range is watched.
+ */
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -30,8 +31,16 @@
 		j->submitted = json_number_value(json_object_get(value, "at"));
 	}
 	j->version = version;
-	if (json_is_true(json_object_get(value, "cancelled")))
-		job_cancel(c, j);
+	/*
+	 * While loading, its bindings may not have been read yet: a job that seems to have none
+	 * would be closed at once, and its tasks run on with nobody to stop them.
+	 */
+	if (json_is_true(json_object_get(value, "cancelled"))) {
+		if (c->el.role == ROLE_LOADING)
+			j->cancelled = true;
+		else
+			job_cancel(c, j);
+	}
 	round_wanted(c);
 }
 
@@ -105,7 +114,7 @@
 	m->version = version;
 	machine_describe(c, m, text_of(value, "addr"), text_of(value, "type"),
 			 text_of(value, "zone"), json_is_true(json_object_get(value, "spot")));
-	json_array_foreach(json_object_get(value, "bound"), i, e)
+	json_array_foreach (json_object_get(value, "bound"), i, e)
 		load_binding(c, m, e);
 }
 
@@ -133,23 +142,24 @@
 	struct job *j, *tmp;
 	struct machine *m, *mtmp;
 
-	HASH_ITER(hh, c->jobs, j, tmp)
-	{
+	HASH_ITER (hh, c->jobs, j, tmp) {
 		struct binding *b;
 
 		for (uint32_t t = 0; t < j->spec.ntasks; t++)
 			j->ndone += job_bit(j->done, t);
-		/* Part of a gang: the leader before ended between two transactions of one placement. */
-		if (j->spec.kind == JOB_GANG && !j->ghost && j->nbound && j->nbound < j->spec.ntasks) {
+		/* Part of a gang: the leader before ended between two transactions of one
+		 * placement. */
+		if (j->spec.kind == JOB_GANG && !j->ghost && j->nbound &&
+		    j->nbound < j->spec.ntasks) {
 			j->gang_stopping = true;
-			DL_FOREACH2(j->bindings, b, jnext)
+			DL_FOREACH2 (j->bindings, b, jnext)
 				binding_stop(c, b, 0);
 		}
 		if (j->cancelled)
-			DL_FOREACH2(j->bindings, b, jnext)
+			DL_FOREACH2 (j->bindings, b, jnext)
 				binding_stop(c, b, 0);
 	}
-	HASH_ITER(hh, c->jobs, j, tmp)
+	HASH_ITER (hh, c->jobs, j, tmp)
 		job_settle(c, j);
 	c->el.role = ROLE_LEAD;
 	c->lead_since = c->now;
@@ -157,11 +167,18 @@
 	c->write_tokens = c->conf->state_write_rps * WRITE_SHARE_LEADER;
 	log_info("lead", "state=leading jobs=%u machines=%u", HASH_COUNT(c->jobs),
 		 HASH_COUNT(c->machines));
-	HASH_ITER(hh, c->machines, m, mtmp)
+	HASH_ITER (hh, c->machines, m, mtmp)
 		workers_ask(c, m);
 	round_wanted(c);
 }
 
+static void on_page(struct core *c, struct call *call, int status, const char *body, size_t len);
+
+static void ask_page(struct core *c, struct load *l)
+{
+	store_range(c, prefixes[l->at], l->last, on_page, l)->drop = free;
+}
+
 static void on_page(struct core *c, struct call *call, int status, const char *body, size_t len)
 {
 	struct load *l = call->arg;
@@ -174,7 +191,7 @@
 		return;
 	}
 	if (status != 200) {
-		store_range(c, prefixes[l->at], l->last, on_page, l);
+		ask_page(c, l);
 		return;
 	}
 	o = wire_parse(body, len);
@@ -188,7 +205,7 @@
 	}
 	json_decref(o);
 	if (l->at < NPREFIXES) {
-		store_range(c, prefixes[l->at], l->last, on_page, l);
+		ask_page(c, l);
 		return;
 	}
 	free(l);
@@ -202,7 +219,7 @@
 	if (!l)
 		abort();
 	l->first = true;
-	store_range(c, prefixes[0], "", on_page, l);
+	ask_page(c, l);
 }
 
 static void watch_item(void *ctx, const struct kv_item *it)
@@ -256,17 +273,16 @@
 
 	commit_clear(c);
 	rent_clear(c);
-	HASH_ITER(hh, c->machines, m, mtmp)
-	{
+	HASH_ITER (hh, c->machines, m, mtmp) {
 		struct binding *b, *tmp;
 
-		DL_FOREACH_SAFE2(m->bindings, b, tmp, mnext)
+		DL_FOREACH_SAFE2 (m->bindings, b, tmp, mnext)
 			free(b);
 		HASH_DEL(c->machines, m);
 		free(m->left);
 		free(m);
 	}
-	HASH_ITER(hh, c->jobs, j, jtmp)
+	HASH_ITER (hh, c->jobs, j, jtmp)
 		job_free(c, j);
 	for (size_t i = 0; i < c->conf->nteams; i++)
 		c->teams[i].cpus = c->teams[i].gpus = 0;
--- a/src/core/machines.c
+++ b/src/core/machines.c
@@ -47,8 +47,7 @@
 	m->cpus = m->type ? m->type->cpus : 0;
 	m->gpus = m->type ? m->type->gpus : 0;
 	m->mem_gb = m->type ? m->type->mem_gb : 0;
-	DL_FOREACH2(m->bindings, b, mnext)
-	{
+	DL_FOREACH2 (m->bindings, b, mnext) {
 		m->cpus -= b->job->spec.cpus;
 		m->gpus -= b->job->spec.gpus;
 		m->mem_gb -= b->job->spec.mem_gb;
@@ -59,7 +58,7 @@
 {
 	struct machine *m, *tmp;
 
-	HASH_ITER(hh, c->machines, m, tmp)
+	HASH_ITER (hh, c->machines, m, tmp)
 		machine_link(c, m);
 }
 
@@ -138,8 +137,8 @@
 {
 	double boot = m->type ? m->type->boot_s : 0;
 
-	return m->last_word < 0 && c->now - m->rented_at >
-					   MACHINE_BOOT_FACTOR * boot + MACHINE_BOOT_EXTRA_S;
+	return m->last_word < 0 &&
+	       c->now - m->rented_at > MACHINE_BOOT_FACTOR * boot + MACHINE_BOOT_EXTRA_S;
 }
 
 static bool silent_too_long(const struct core *c, const struct machine *m)
@@ -166,8 +165,7 @@
 		return;
 	}
 	/* Known from a record or the list, but not heard of under this leader. */
-	if (m->last_word < 0 && *m->addr && m->nbindings &&
-	    c->now - m->asked_at > MACHINE_SHOW_S)
+	if (m->last_word < 0 && *m->addr && m->nbindings && c->now - m->asked_at > MACHINE_SHOW_S)
 		workers_ask(c, m);
 }
 
@@ -177,8 +175,7 @@
 	int heard = 0, silent = 0;
 	struct machine *m, *tmp;
 
-	HASH_ITER(hh, c->machines, m, tmp)
-	{
+	HASH_ITER (hh, c->machines, m, tmp) {
 		if (m->last_word < 0 || m->deleting)
 			continue;
 		heard++;
@@ -198,8 +195,7 @@
 		election_yield(c, "no_worker_heard");
 		return;
 	}
-	HASH_ITER(hh, c->machines, m, tmp)
-	{
+	HASH_ITER (hh, c->machines, m, tmp) {
 		machine_look(c, m);
 		if (m->gone && !m->bindings && !m->dirty && !m->flying) {
 			HASH_DEL(c->machines, m);
--- a/src/core/place.c
+++ b/src/core/place.c
@@ -28,7 +28,8 @@
 
 static bool room_for(const struct machine *m, const struct job_spec *s)
 {
-	return m->cpus + 1e-6 >= s->cpus && m->gpus + 1e-6 >= s->gpus && m->mem_gb + 1e-6 >= s->mem_gb;
+	return m->cpus + 1e-6 >= s->cpus && m->gpus + 1e-6 >= s->gpus &&
+	       m->mem_gb + 1e-6 >= s->mem_gb;
 }
 
 /* Seconds that placing here costs, as far as can be told: fetching, and room taken from others. */
@@ -56,8 +57,7 @@
 	struct machine *m, *tmp, *best = NULL;
 	double best_cost = INFINITY;
 
-	HASH_ITER(hh, c->machines, m, tmp)
-	{
+	HASH_ITER (hh, c->machines, m, tmp) {
 		double cost;
 
 		if (!room_for(m, &j->spec) || !machine_usable(c, m) ||
@@ -94,7 +94,7 @@
 {
 	struct binding *b, *tmp;
 
-	DL_FOREACH_SAFE2(j->bindings, b, tmp, jnext)
+	DL_FOREACH_SAFE2 (j->bindings, b, tmp, jnext)
 		if (b->attempt == attempt)
 			binding_drop(c, b);
 }
@@ -104,7 +104,7 @@
 	const struct binding *b;
 	uint32_t n = 0;
 
-	DL_FOREACH2(j->bindings, b, jnext)
+	DL_FOREACH2 (j->bindings, b, jnext)
 		n += !strcmp(b->machine->zone, zone);
 	return n;
 }
@@ -117,7 +117,7 @@
 
 	if (!j->spec.spread)
 		return NULL;
-	DL_FOREACH2(j->bindings, b, jnext)
+	DL_FOREACH2 (j->bindings, b, jnext)
 		if (in_zone(j, b->machine->zone) >= most)
 			return b->machine->zone;
 	return NULL;
@@ -245,7 +245,7 @@
 	*out = calloc(HASH_COUNT(c->jobs) + 1, sizeof(**out));
 	if (!*out)
 		abort();
-	HASH_ITER(hh, c->jobs, j, tmp)
+	HASH_ITER (hh, c->jobs, j, tmp)
 		if (job_waiting(j) && c->now >= j->not_before)
 			(*out)[n++] = j;
 	qsort(*out, n, sizeof(**out), by_order);
--- a/src/core/preempt.c
+++ b/src/core/preempt.c
@@ -24,7 +24,8 @@
 
 static bool enough(const struct room *r, const struct job_spec *s)
 {
-	return r->cpus + 1e-6 >= s->cpus && r->gpus + 1e-6 >= s->gpus && r->mem_gb + 1e-6 >= s->mem_gb;
+	return r->cpus + 1e-6 >= s->cpus && r->gpus + 1e-6 >= s->gpus &&
+	       r->mem_gb + 1e-6 >= s->mem_gb;
 }
 
 static void room_add(struct room *r, const struct binding *b)
@@ -34,14 +35,15 @@
 	r->mem_gb += b->job->spec.mem_gb;
 }
 
+/* At its limit, a team makes room among its own tasks only. */
 static struct binding *cheapest(const struct core *c, const struct machine *m, const struct job *j,
-				const struct binding *const *taken, int n)
+				bool own, const struct binding *const *taken, int n)
 {
 	struct binding *b, *best = NULL;
 
-	DL_FOREACH2(m->bindings, b, mnext)
-	{
-		bool used = b->stopping || !may_stop(j, b);
+	DL_FOREACH2 (m->bindings, b, mnext) {
+		bool used = b->stopping || !may_stop(j, b) ||
+			    (own && strcmp(b->job->spec.team, j->spec.team));
 
 		for (int i = 0; i < n; i++)
 			used |= taken[i] == b;
@@ -54,7 +56,7 @@
 #define VICTIMS_MAX 8 /* tasks stopped for one: more than that is no bargain */
 
 /* The cost of room on this machine and the tasks to stop; INFINITY if it can't be had. */
-static double plan(const struct core *c, const struct machine *m, const struct job *j,
+static double plan(const struct core *c, const struct machine *m, const struct job *j, bool own,
 		   struct binding **victims, int *n)
 {
 	struct room r = {m->cpus, m->gpus, m->mem_gb};
@@ -62,14 +64,14 @@
 	double cost = 0;
 
 	*n = 0;
-	DL_FOREACH2(m->bindings, b, mnext)
+	DL_FOREACH2 (m->bindings, b, mnext)
 		if (b->stopping)
 			room_add(&r, b);
 	while (!enough(&r, &j->spec)) {
 		struct binding *v =
-			*n < VICTIMS_MAX
-				? cheapest(c, m, j, (const struct binding *const *)victims, *n)
-				: NULL;
+		    *n < VICTIMS_MAX
+			? cheapest(c, m, j, own, (const struct binding *const *)victims, *n)
+			: NULL;
 
 		if (!v)
 			return INFINITY;
@@ -93,18 +95,19 @@
 	double best_cost = INFINITY;
 	struct machine *m, *tmp;
 	int n, nbest = 0;
+	bool own;
 
 	if (j->bindings || (j->spec.kind == JOB_GANG && j->spec.ntasks > 1) ||
-	    !team_has_room(c, &j->spec, 1) || c->now - j->waiting_since < PREEMPT_AFTER_S ||
+	    c->now - j->waiting_since < PREEMPT_AFTER_S ||
 	    (j->preempted_at > 0 && c->now - j->preempted_at < PREEMPT_AGAIN_S))
 		return false;
-	HASH_ITER(hh, c->machines, m, tmp)
-	{
+	own = !team_has_room(c, &j->spec, 1);
+	HASH_ITER (hh, c->machines, m, tmp) {
 		double cost;
 
 		if (!machine_usable(c, m) || !machine_allowed(m->type, m->zone, m->spot, &j->spec))
 			continue;
-		cost = plan(c, m, j, victims, &n);
+		cost = plan(c, m, j, own, victims, &n);
 		if (cost < best_cost) {
 			best_cost = cost;
 			nbest = n;
--- a/src/core/rent.c
+++ b/src/core/rent.c
@@ -91,8 +91,7 @@
 
 void catalog_tick(struct core *c)
 {
-	if (c->catalog_out || c->now < c->next_catalog ||
-	    (c->types && c->el.role != ROLE_LEAD))
+	if (c->catalog_out || c->now < c->next_catalog || (c->types && c->el.role != ROLE_LEAD))
 		return;
 	c->catalog_out = true;
 	core_call(c, c->conf->cloud, "GET", fmt_path(W_PATH_TYPES), NULL, CALL_CLOUD_S, on_catalog,
@@ -113,8 +112,7 @@
 {
 	struct tomb *t, *tmp;
 
-	HASH_ITER(hh, c->tombs, t, tmp)
-	{
+	HASH_ITER (hh, c->tombs, t, tmp) {
 		if (c->now - t->at < TOMB_S)
 			break; /* oldest first */
 		HASH_DEL(c->tombs, t);
@@ -157,7 +155,7 @@
 {
 	struct machine *m, *tmp;
 
-	HASH_ITER(hh, c->machines, m, tmp)
+	HASH_ITER (hh, c->machines, m, tmp)
 		if (m->listed && m->list_round != c->list_round)
 			m->missing++;
 	c->list_after[0] = 0;
@@ -230,8 +228,7 @@
 	double left = m->notice_s - (c->now - m->notice_heard);
 	struct binding *b;
 
-	DL_FOREACH2(m->bindings, b, mnext)
-	{
+	DL_FOREACH2 (m->bindings, b, mnext) {
 		double save = b->job->spec.save_s;
 
 		if (b->stopping || b->job->spec.checkpoint_s <= 0 || left < save)
@@ -245,8 +242,7 @@
 {
 	struct machine *m, *tmp;
 
-	HASH_ITER(hh, c->machines, m, tmp)
-	{
+	HASH_ITER (hh, c->machines, m, tmp) {
 		if (m->deleting)
 			continue;
 		if (m->notice_s >= 0)
@@ -297,8 +293,7 @@
 
 	if (!d)
 		abort();
-	HASH_ITER(hh, c->machines, m, tmp)
-	{
+	HASH_ITER (hh, c->machines, m, tmp) {
 		if (!m->deleting || m->delete_out || m->gone || d->n == DELETE_BATCH_MAX)
 			continue;
 		m->delete_out = true;
@@ -311,7 +306,8 @@
 		return false;
 	}
 	core_call(c, c->conf->cloud, "POST", fmt_path(W_PATH_DELETE), wire_delete(ids, d->n),
-		  CALL_CLOUD_S, on_delete, d);
+		  CALL_CLOUD_S, on_delete, d)
+	    ->drop = free;
 	return true;
 }
 
@@ -332,7 +328,8 @@
 	size_t n, cap;
 };
 
-static struct vroom *plan_add(struct plan *p, const struct machine_type *t, const char *zone, bool spot)
+static struct vroom *plan_add(struct plan *p, const struct machine_type *t, const char *zone,
+			      bool spot)
 {
 	struct vroom *v;
 
@@ -477,8 +474,7 @@
 	struct machine *m, *tmp;
 	struct rent_req *q;
 
-	HASH_ITER(hh, c->machines, m, tmp)
-	{
+	HASH_ITER (hh, c->machines, m, tmp) {
 		struct vroom *v;
 
 		if (!m->type || m->deleting || m->draining || m->failed || m->notice_s >= 0)
@@ -491,8 +487,7 @@
 		v->gpus = m->gpus;
 		v->mem_gb = m->mem_gb;
 	}
-	DL_FOREACH(c->rents, q)
-	{
+	DL_FOREACH (c->rents, q) {
 		for (size_t i = 0; i < c->ntypes; i++)
 			for (int k = 0; k < q->count && !strcmp(c->types[i].name, q->type); k++)
 				plan_add(p, &c->types[i], q->zone, q->spot);
@@ -505,8 +500,7 @@
 	uint32_t looked = 0;
 	struct job *j, *tmp;
 
-	HASH_ITER(hh, c->jobs, j, tmp)
-	{
+	HASH_ITER (hh, c->jobs, j, tmp) {
 		uint32_t n = job_waiting(j), k;
 
 		if (!n || c->now < j->not_before || (j->bindings && j->spec.kind == JOB_GANG))
@@ -534,8 +528,7 @@
 	struct job *j, *tmp;
 	size_t n = 0;
 
-	HASH_ITER(hh, c->jobs, j, tmp)
-	{
+	HASH_ITER (hh, c->jobs, j, tmp) {
 		size_t i = 0;
 
 		if (j->ghost)
@@ -583,7 +576,7 @@
 
 	if (election_stale(c, call))
 		return;
-	DL_FOREACH(c->rents, q)
+	DL_FOREACH (c->rents, q)
 		if (!strcmp(q->name, call->key))
 			break;
 	if (!q)
@@ -641,7 +634,8 @@
 			continue;
 		if (!first)
 			first = v;
-		if (v->type != first->type || strcmp(v->zone, first->zone) || v->spot != first->spot)
+		if (v->type != first->type || strcmp(v->zone, first->zone) ||
+		    v->spot != first->spot)
 			continue;
 		n += n < RENT_BATCH_MAX;
 		if (v != first)
@@ -682,8 +676,7 @@
 {
 	struct rent_req *q;
 
-	DL_FOREACH(c->rents, q)
-	{
+	DL_FOREACH (c->rents, q) {
 		if (!q->out && c->now >= q->again) {
 			rent_send(c, q);
 			return true;
@@ -714,18 +707,15 @@
 	struct refusal *r, *rtmp;
 	struct tomb *t, *ttmp;
 
-	DL_FOREACH_SAFE(c->rents, q, tmp)
-	{
+	DL_FOREACH_SAFE (c->rents, q, tmp) {
 		DL_DELETE(c->rents, q);
 		free(q);
 	}
-	HASH_ITER(hh, c->refusals, r, rtmp)
-	{
+	HASH_ITER (hh, c->refusals, r, rtmp) {
 		HASH_DEL(c->refusals, r);
 		free(r);
 	}
-	HASH_ITER(hh, c->tombs, t, ttmp)
-	{
+	HASH_ITER (hh, c->tombs, t, ttmp) {
 		HASH_DEL(c->tombs, t);
 		free(t);
 	}
--- a/src/core/state.h
+++ b/src/core/state.h
@@ -26,6 +26,7 @@
 	uint64_t id;
 	call_fn fn;
 	void *arg;
+	void (*drop)(void *arg); /* frees arg if no answer is waited for any more */
 	uint64_t term; /* leadership under which it was made: answers of an older one are void */
 	double sent;
 	bool starts;	/* direct commands: a start is among them */
@@ -41,18 +42,18 @@
 	struct job *job;
 	uint32_t task;
 	uint64_t attempt;
-	uint64_t floor_token; /* a report proves absence only if its worker saw this token */
+	uint64_t floor_token;  /* a report proves absence only if its worker saw this token */
 	uint64_t sent_session; /* session of the newest start sent this term; 0: none sent */
 	uint64_t beat_seq;     /* report whose answer carried the newest start */
 	uint64_t listed_at;    /* newest message that lists it */
 	double sent_at;
-	double stop_at;	   /* when the newest stop was sent; 0: none */
+	double stop_at; /* when the newest stop was sent; 0: none */
 	double grace_s;
 	double placed_at;
 	double running_since; /* 0: not running */
 	bool committed, flying;
-	bool loaded;	   /* made by an earlier leader */
-	bool seen;	   /* listed by its worker under this leader */
+	bool loaded; /* made by an earlier leader */
+	bool seen;   /* listed by its worker under this leader */
 	bool stopping;
 	enum task_state state;
 	struct binding *mprev, *mnext; /* on its machine */
@@ -95,15 +96,15 @@
 	/* the cloud */
 	bool listed;
 	bool failed;
-	bool adopted; /* known by the list or its worker only, not rented by this leader */
+	bool adopted;	     /* known by the list or its worker only, not rented by this leader */
 	uint64_t list_round; /* the newest list that named it */
-	int missing;  /* lists in a row without it */
+	int missing;	     /* lists in a row without it */
 	double rented_at;
 	double idle_since;
 	bool draining;
 	bool deleting; /* a delete was decided: it gets no tasks any more */
 	bool delete_out;
-	bool gone; /* the cloud's 200 to its delete came */
+	bool gone;     /* the cloud's 200 to its delete came */
 	bool dropping; /* the transaction under way drops its record */
 
 	/* the record */
@@ -123,20 +124,20 @@
 	uint64_t version; /* of its record */
 	double submitted; /* wall */
 	bool cancelled;
-	bool ghost;	  /* only its bindings are known: it is final */
+	bool ghost; /* only its bindings are known: it is final */
 	bool final_queued, final_done;
-	uint8_t *done;	  /* one bit per task */
+	uint8_t *done; /* one bit per task */
 	uint8_t *bound;
 	uint32_t ndone, nbound, nrunning;
 	uint32_t next_task; /* no waiting task lies before it */
-	uint64_t attempt; /* gang: the attempt under way */
+	uint64_t attempt;   /* gang: the attempt under way */
 	bool gang_stopping;
 	double not_before; /* steady */
 	int errors;
 	char bad[ERROR_JOB_MACHINES][ID_MAX];
 	int nbad;
 	double preempted_at;
-	double waiting_since; /* steady */
+	double waiting_since;	/* steady */
 	uint64_t *done_version; /* per chunk */
 	uint8_t *done_dirty;
 	uint8_t *done_flying;
@@ -178,11 +179,10 @@
 	enum user_kind kind;
 	char id[ID_MAX];
 	struct job_spec *spec;
-	json_t *record;
 	int verdict; /* 400 or 422 to give if the job is not known; 0: valid */
 	const char *why;
 	double since;
-	bool settled;	/* the commit's outcome is unknown: read before answering */
+	bool settled; /* the commit's outcome is unknown: read before answering */
 	struct user_req *prev, *next;
 };
 
@@ -209,7 +209,7 @@
 	bool known;
 	bool reading, watching, claiming;
 	uint64_t token, term, lease;
-	double renewed;	   /* when the last renewal that succeeded was sent */
+	double renewed; /* when the last renewal that succeeded was sent */
 	double next_renew;
 	bool renew_out;
 	double next_try;
@@ -250,8 +250,8 @@
 	uint64_t next_call;
 
 	struct election el;
-	double state_ok;  /* when an answer from the state service last came */
-	bool state_down;  /* the last answer was a refusal or none */
+	double state_ok; /* when an answer from the state service last came */
+	bool state_down; /* the last answer was a refusal or none */
 
 	struct machine_type *types;
 	size_t ntypes;
@@ -301,11 +301,10 @@
 };
 
 /* core.c */
-struct call *core_call(struct core *c, const char *addr, const char *method, char *path,
-		       char *body, double timeout_s, call_fn fn, void *arg);
+struct call *core_call(struct core *c, const char *addr, const char *method, char *path, char *body,
+		       double timeout_s, call_fn fn, void *arg);
 void core_reply(struct core *c, uint64_t conn, int status, int retry_after, char *body);
-void core_reply_error(struct core *c, uint64_t conn, int status, int retry_after,
-		      const char *why);
+void core_reply_error(struct core *c, uint64_t conn, int status, int retry_after, const char *why);
 double core_random(struct core *c);
 char *fmt_path(const char *fmt, ...) __attribute__((format(printf, 1, 2)));
 
@@ -314,8 +313,8 @@
 struct call *store_range(struct core *c, const char *prefix, const char *after, call_fn fn,
 			 void *arg);
 struct call *store_commit(struct core *c, char *body, call_fn fn, void *arg);
-struct call *store_watch(struct core *c, const char *prefix, uint64_t from, int wait_ms,
-			 call_fn fn, void *arg);
+struct call *store_watch(struct core *c, const char *prefix, uint64_t from, int wait_ms, call_fn fn,
+			 void *arg);
 void store_heard(struct core *c, int status);
 
 /* election.c */
--- a/src/core/store.c
+++ b/src/core/store.c
@@ -32,8 +32,7 @@
 		path = fmt_path(W_PATH_KEYS "?" W_PREFIX "=%s&" W_AFTER "=%s&" W_LIMIT "=%d",
 				prefix, after, RANGE_LIMIT);
 	else
-		path = fmt_path(W_PATH_KEYS "?" W_PREFIX "=%s&" W_LIMIT "=%d", prefix,
-				RANGE_LIMIT);
+		path = fmt_path(W_PATH_KEYS "?" W_PREFIX "=%s&" W_LIMIT "=%d", prefix, RANGE_LIMIT);
 	return core_call(c, c->conf->state, "GET", path, NULL, CALL_STATE_S, fn, arg);
 }
 
@@ -43,11 +42,11 @@
 			 arg);
 }
 
-struct call *store_watch(struct core *c, const char *prefix, uint64_t from, int wait_ms,
-			 call_fn fn, void *arg)
+struct call *store_watch(struct core *c, const char *prefix, uint64_t from, int wait_ms, call_fn fn,
+			 void *arg)
 {
-	char *path = fmt_path(W_PATH_WATCH "?" W_PREFIX "=%s&" W_AFTER "=%llu&" W_WAIT "=%d", prefix,
-			      (unsigned long long)from, wait_ms);
+	char *path = fmt_path(W_PATH_WATCH "?" W_PREFIX "=%s&" W_AFTER "=%llu&" W_WAIT "=%d",
+			      prefix, (unsigned long long)from, wait_ms);
 
 	return core_call(c, c->conf->state, "GET", path, NULL,
 			 wait_ms / 1000.0 + LEADER_WATCH_SLACK_S, fn, arg);
--- a/src/core/users.c
+++ b/src/core/users.c
@@ -16,25 +16,25 @@
 	return o;
 }
 
-static void user_free(struct core *c, struct user_req *u)
+static void user_free(void *arg)
 {
-	(void)c;
+	struct user_req *u = arg;
+
 	free(u->spec);
-	json_decref(u->record);
 	free(u);
 }
 
 static void user_fail(struct core *c, struct user_req *u, int status, int retry, const char *why)
 {
 	core_reply_error(c, u->conn, status, retry, why);
-	user_free(c, u);
+	user_free(u);
 }
 
 static void user_state(struct core *c, struct user_req *u, int status, enum job_state s,
 		       uint32_t done, uint32_t running)
 {
 	core_reply(c, u->conn, status, 0, wire_job_answer(u->id, s, done, running));
-	user_free(c, u);
+	user_free(u);
 }
 
 /* --- final states, which never change --- */
@@ -75,7 +75,8 @@
 
 static void user_lookup(struct core *c, struct user_req *u);
 
-static void on_cancelled(struct core *c, struct call *call, int status, const char *body, size_t len)
+static void on_cancelled(struct core *c, struct call *call, int status, const char *body,
+			 size_t len)
 {
 	struct user_req *u = call->arg;
 
@@ -104,7 +105,7 @@
 	txn_begin(&t);
 	txn_guard(&t, it->key, it->version);
 	txn_put(&t, it->key, v, 0);
-	store_commit(c, txn_finish(&t), on_cancelled, u);
+	store_commit(c, txn_finish(&t), on_cancelled, u)->drop = user_free;
 }
 
 static void answer_open(struct core *c, struct user_req *u, const struct kv_item *it)
@@ -182,10 +183,11 @@
 
 	snprintf(key, sizeof(key), "%s%s", prefix, u->id);
 	c->nreads++;
-	store_get(c, key, fn, u);
+	store_get(c, key, fn, u)->drop = user_free;
 }
 
-static void on_open_read(struct core *c, struct call *call, int status, const char *body, size_t len)
+static void on_open_read(struct core *c, struct call *call, int status, const char *body,
+			 size_t len)
 {
 	struct user_req *u = call->arg;
 	struct kv_item it;
@@ -230,11 +232,10 @@
 {
 	struct user_req *u, *tmp;
 
-	DL_FOREACH_SAFE(list, u, tmp)
-	{
+	DL_FOREACH_SAFE (list, u, tmp) {
 		DL_DELETE(list, u);
-		log_info("accepted", "job=%s class=%s team=%s tasks=%u", u->id,
-			 u->spec->class_name, u->spec->team, u->spec->ntasks);
+		log_info("accepted", "job=%s class=%s team=%s tasks=%u", u->id, u->spec->class_name,
+			 u->spec->team, u->spec->ntasks);
 		user_state(c, u, 201, JS_QUEUED, 0, 0);
 	}
 }
@@ -244,8 +245,7 @@
 	json_t *o = wire_parse(body, len);
 	struct user_req *u, *tmp;
 
-	DL_FOREACH_SAFE(list, u, tmp)
-	{
+	DL_FOREACH_SAFE (list, u, tmp) {
 		char j[ID_MAX + 4], f[ID_MAX + 4];
 
 		DL_DELETE(list, u);
@@ -265,11 +265,11 @@
 {
 	struct user_req *u, *tmp;
 
-	DL_FOREACH_SAFE(list, u, tmp)
-	{
+	DL_FOREACH_SAFE (list, u, tmp) {
 		DL_DELETE(list, u);
 		if (status == 0) {
-			/* It may have been committed, or may yet be: look before saying anything. */
+			/* It may have been committed, or may yet be: look before saying anything.
+			 */
 			u->settled = true;
 			user_lookup(c, u);
 		} else {
@@ -307,7 +307,7 @@
 {
 	const struct user_req *o;
 
-	DL_FOREACH(c->submit_flying, o)
+	DL_FOREACH (c->submit_flying, o)
 		if (!strcmp(o->id, u->id))
 			return true;
 	return false;
@@ -323,8 +323,7 @@
 	if (c->submit_flying || !c->submits)
 		return;
 	txn_begin(&t);
-	DL_FOREACH_SAFE(c->submits, u, tmp)
-	{
+	DL_FOREACH_SAFE (c->submits, u, tmp) {
 		size_t more = 1200 + (size_t)u->spec->ntypes * NAME_MAX_LEN;
 
 		if (n && (n == c->conf->txn_ops || bytes + more > SUBMIT_BATCH_BYTES))
@@ -474,17 +473,15 @@
 	struct final *f, *ftmp;
 	struct hint *h, *htmp;
 
-	DL_FOREACH_SAFE(c->submits, u, tmp)
-		user_free(c, u);
-	DL_FOREACH_SAFE(c->submit_flying, u, tmp)
-		user_free(c, u);
-	HASH_ITER(hh, c->finals, f, ftmp)
-	{
+	DL_FOREACH_SAFE (c->submits, u, tmp)
+		user_free(u);
+	DL_FOREACH_SAFE (c->submit_flying, u, tmp)
+		user_free(u);
+	HASH_ITER (hh, c->finals, f, ftmp) {
 		HASH_DEL(c->finals, f);
 		free(f);
 	}
-	HASH_ITER(hh, c->hints, h, htmp)
-	{
+	HASH_ITER (hh, c->hints, h, htmp) {
 		HASH_DEL(c->hints, h);
 		free(h);
 	}
--- a/src/core/workers.c
+++ b/src/core/workers.c
@@ -19,8 +19,9 @@
 {
 	struct binding *b;
 
-	DL_FOREACH2(m->bindings, b, mnext)
-		if (b->task == t->task && b->attempt == t->attempt && !strcmp(b->job->spec.id, t->job))
+	DL_FOREACH2 (m->bindings, b, mnext)
+		if (b->task == t->task && b->attempt == t->attempt &&
+		    !strcmp(b->job->spec.id, t->job))
 			return b;
 	return NULL;
 }
@@ -118,8 +119,7 @@
 	/* Ending a binding may end others of its gang, so the walk starts anew after each. */
 	do {
 		again = false;
-		DL_FOREACH2(m->bindings, b, mnext)
-		{
+		DL_FOREACH2 (m->bindings, b, mnext) {
 			int before = m->nbindings;
 
 			if (b->listed_at == m->seq)
@@ -199,7 +199,7 @@
 		return false;
 	if (j->spec.kind != JOB_GANG)
 		return true;
-	DL_FOREACH2(j->bindings, o, jnext)
+	DL_FOREACH2 (j->bindings, o, jnext)
 		if (!o->committed)
 			return false;
 	return true;
@@ -209,8 +209,7 @@
 			    struct command_list *l, bool beat)
 {
 	/* Sent by /do and answered, but not yet on a report: not sent again at once. */
-	if (may_start(b) &&
-	    (beat || b->sent_at <= 0 || c->now - b->sent_at > START_RESEND_S)) {
+	if (may_start(b) && (beat || b->sent_at <= 0 || c->now - b->sent_at > START_RESEND_S)) {
 		add_command(l, OP_START, b->job->spec.id, b->task, b->attempt, 0);
 		b->sent_at = c->now;
 		b->sent_session = m->session;
@@ -252,7 +251,7 @@
 	}
 	if (m->deleting)
 		return;
-	DL_FOREACH2(m->bindings, b, mnext)
+	DL_FOREACH2 (m->bindings, b, mnext)
 		command_binding(c, m, b, l, beat);
 }
 
@@ -374,8 +373,7 @@
 	if (!c->kicks)
 		return;
 	c->kicks = false;
-	HASH_ITER(hh, c->machines, m, tmp)
-	{
+	HASH_ITER (hh, c->machines, m, tmp) {
 		if (!m->kick)
 			continue;
 		if (m->do_out) {
--- a/src/net/net.c
+++ b/src/net/net.c
@@ -29,14 +29,14 @@
 	int fd;
 	enum conn_kind kind;
 	enum net_side side;
-	uint64_t id;		/* server: names the connection to the core */
-	int busy;		/* server: a request awaits its answer; client: a call is out */
+	uint64_t id; /* server: names the connection to the core */
+	int busy;    /* server: a request awaits its answer; client: a call is out */
 	int connecting;
 	int close_after;
 	int want_out;
 	int dead;
-	double since;		/* start of the half-read request, of idleness, or of the call */
-	double deadline;	/* client: end of the call */
+	double since;	 /* start of the half-read request, of idleness, or of the call */
+	double deadline; /* client: end of the call */
 	uint64_t call_id;
 	struct pool *pool;
 	struct buf in, out;
@@ -58,10 +58,10 @@
 	int nconns;
 	uint64_t next_id;
 	double next_sweep;
-	struct conn *servers;	/* list */
-	struct conn *by_id;	/* hash of servers */
-	struct conn *calls;	/* list of busy clients */
-	struct conn *dead;	/* list, freed after the round */
+	struct conn *servers; /* list */
+	struct conn *by_id;   /* hash of servers */
+	struct conn *calls;   /* list of busy clients */
+	struct conn *dead;    /* list, freed after the round */
 	struct pool *pools;
 	struct conn listeners[2];
 };
@@ -165,8 +165,7 @@
 {
 	struct conn *c, *tmp;
 
-	DL_FOREACH_SAFE(n->dead, c, tmp)
-	{
+	DL_FOREACH_SAFE (n->dead, c, tmp) {
 		DL_DELETE(n->dead, c);
 		buf_free(&c->in);
 		buf_free(&c->out);
@@ -226,7 +225,8 @@
 		return;
 	c->busy = 0;
 	c->since = net_now();
-	buf_addf(&c->out, "HTTP/1.1 %d %s\r\nContent-Type: application/json\r\nContent-Length: %zu\r\n",
+	buf_addf(&c->out,
+		 "HTTP/1.1 %d %s\r\nContent-Type: application/json\r\nContent-Length: %zu\r\n",
 		 status, http_reason(status), len);
 	if (retry_after > 0)
 		buf_addf(&c->out, "Retry-After: %d\r\n", retry_after);
@@ -255,8 +255,7 @@
 	char path[HTTP_PATH_MAX];
 
 	while (!c->dead && !c->busy && c->in.len) {
-		enum http_result r =
-			http_parse(&m, buf_at(&c->in), c->in.len, 0, HTTP_BODY_MAX);
+		enum http_result r = http_parse(&m, buf_at(&c->in), c->in.len, 0, HTTP_BODY_MAX);
 		char *body;
 
 		if (r == HTTP_MORE)
@@ -369,7 +368,8 @@
 
 		if (fd < 0)
 			return;
-		/* Sockets for our own calls are kept back; a caller that is turned away asks again. */
+		/* Sockets for our own calls are kept back; a caller that is turned away asks again.
+		 */
 		if (n->nconns >= n->max_conns - NET_CONNS_RESERVED) {
 			log_error("conn_limit", "conns=%d", n->nconns);
 			close(fd);
@@ -473,8 +473,7 @@
 {
 	if (c->dead)
 		return;
-	if (c->connecting && (events & (EPOLLOUT | EPOLLERR | EPOLLHUP)) &&
-	    client_connected(n, c))
+	if (c->connecting && (events & (EPOLLOUT | EPOLLERR | EPOLLHUP)) && client_connected(n, c))
 		return;
 	if (c->connecting)
 		return;
@@ -491,8 +490,7 @@
 	struct conn *c, *tmp;
 	struct pool *p, *ptmp;
 
-	DL_FOREACH_SAFE(n->calls, c, tmp)
-	{
+	DL_FOREACH_SAFE (n->calls, c, tmp) {
 		if (c->deadline <= now && !c->dead) {
 			uint64_t id = c->call_id;
 			int status = c->connecting ? -1 : 0;
@@ -501,16 +499,13 @@
 			n->ops->reply(n->ctx, id, status, "", 0);
 		}
 	}
-	DL_FOREACH_SAFE(n->servers, c, tmp)
-	{
+	DL_FOREACH_SAFE (n->servers, c, tmp) {
 		/* A request half sent, or an answer nobody reads, holds a socket. */
 		if (!c->busy && (c->in.len || c->out.len) && now - c->since > NET_SLOW_S)
 			conn_close(n, c);
 	}
-	HASH_ITER(hh, n->pools, p, ptmp)
-	{
-		DL_FOREACH_SAFE(p->idle, c, tmp)
-		{
+	HASH_ITER (hh, n->pools, p, ptmp) {
+		DL_FOREACH_SAFE (p->idle, c, tmp) {
 			if (now - c->since > NET_IDLE_S)
 				conn_close(n, c);
 		}
@@ -550,8 +545,7 @@
 		conn_close(n, n->servers);
 	while (n->calls)
 		conn_close(n, n->calls);
-	HASH_ITER(hh, n->pools, p, tmp)
-	{
+	HASH_ITER (hh, n->pools, p, tmp) {
 		while (p->idle)
 			conn_close(n, p->idle);
 		HASH_DEL(n->pools, p);
--- a/src/util/log.h
+++ b/src/util/log.h
@@ -8,7 +8,7 @@
 void log_token(unsigned long long token);
 int log_on(enum log_level level);
 void log_line(enum log_level level, const char *event, const char *fmt, ...)
-	__attribute__((format(printf, 3, 4)));
+    __attribute__((format(printf, 3, 4)));
 
 #define log_error(event, ...) log_line(LOG_ERROR, event, __VA_ARGS__)
 #define log_info(event, ...)                                                                       \
--- a/src/wire/json.c
+++ b/src/wire/json.c
@@ -14,9 +14,9 @@
 static const char *const job_states[] = {W_ST_QUEUED, W_ST_RUNNING, W_ST_DONE, W_ST_CANCELLED};
 static const char *const task_states[] = {W_TS_FETCHING, W_TS_WAITING, W_TS_RUNNING, W_TS_SAVING,
 					  W_TS_EXITED};
-static const char *const task_whys[] = {"",	      W_WHY_DONE,    W_WHY_STOPPED,
-					W_WHY_PEERS,  W_WHY_ALONE,   W_WHY_ERROR,
-					W_WHY_NO_ROOM, W_WHY_BUSY,   W_WHY_UNKNOWN};
+static const char *const task_whys[] = {"",	      W_WHY_DONE,  W_WHY_STOPPED, W_WHY_PEERS,
+					W_WHY_ALONE,  W_WHY_ERROR, W_WHY_NO_ROOM, W_WHY_BUSY,
+					W_WHY_UNKNOWN};
 static const char *const ops[] = {W_OP_START, W_OP_STOP, W_OP_FORGET};
 static const char *const listed_states[] = {W_MS_BOOTING, W_MS_RUNNING, W_MS_FAILED};
 
@@ -101,8 +101,7 @@
 		return 0;
 	if (!json_is_array(v) || !json_array_size(v))
 		return -1;
-	json_array_foreach(v, i, e)
-	{
+	json_array_foreach (v, i, e) {
 		const char *s = json_string_value(e);
 
 		if (!s || !*s || strlen(s) >= NAME_MAX_LEN)
@@ -135,9 +134,9 @@
 	const struct {
 		const char *key;
 		double *out;
-	} nums[] = {{W_CPUS, &j->cpus},		    {W_GPUS, &j->gpus},
-		    {W_MEMORY, &j->mem_gb},	    {W_IMAGE_GB, &j->image_gb},
-		    {W_ESTIMATE, &j->estimate_s},   {W_CHECKPOINT, &j->checkpoint_s},
+	} nums[] = {{W_CPUS, &j->cpus},		  {W_GPUS, &j->gpus},
+		    {W_MEMORY, &j->mem_gb},	  {W_IMAGE_GB, &j->image_gb},
+		    {W_ESTIMATE, &j->estimate_s}, {W_CHECKPOINT, &j->checkpoint_s},
 		    {W_SAVE, &j->save_s}};
 	const struct {
 		const char *key;
@@ -207,8 +206,7 @@
 	json_object_set_new(o, W_ID, json_string(j->id));
 	json_object_set_new(o, W_CLASS, json_string(j->class_name));
 	json_object_set_new(o, W_TEAM, json_string(j->team));
-	json_object_set_new(o, W_KIND,
-			    json_string(kind_names[j->kind]));
+	json_object_set_new(o, W_KIND, json_string(kind_names[j->kind]));
 	json_object_set_new(o, W_PRIORITY, json_string(priority_names[j->priority]));
 	json_object_set_new(o, W_TASKS, json_integer(j->ntasks));
 	json_object_set_new(o, W_CPUS, json_real(j->cpus));
@@ -274,8 +272,8 @@
 {
 	int st = name_index(task_states, LEN(task_states),
 			    json_string_value(json_object_get(o, W_STATE)));
-	int why = name_index(task_whys, LEN(task_whys),
-			     json_string_value(json_object_get(o, W_WHY)));
+	int why =
+	    name_index(task_whys, LEN(task_whys), json_string_value(json_object_get(o, W_WHY)));
 
 	if (decode_task_name(json_string_value(json_object_get(o, W_TASK)), t->job, &t->task) ||
 	    get_count(o, W_ATTEMPT, &t->attempt) || st < 0)
@@ -306,8 +304,7 @@
 	r->tasks = calloc(json_array_size(tasks) + 1, sizeof(*r->tasks));
 	if (!r->tasks)
 		abort();
-	json_array_foreach(tasks, i, e)
-	{
+	json_array_foreach (tasks, i, e) {
 		/* A report half understood would make absence of proof look like proof. */
 		if (decode_report_task(e, &r->tasks[r->ntasks]))
 			return -1;
@@ -344,8 +341,7 @@
 		json_t *o = json_object();
 
 		json_object_set_new(o, W_OP, json_string(ops[cmds[i].op]));
-		json_object_set_new(o, W_TASK,
-				    json_sprintf("%s/%u", cmds[i].job, cmds[i].task));
+		json_object_set_new(o, W_TASK, json_sprintf("%s/%u", cmds[i].job, cmds[i].task));
 		json_object_set_new(o, W_ATTEMPT, json_integer((json_int_t)cmds[i].attempt));
 		if (cmds[i].op == OP_STOP)
 			json_object_set_new(o, W_GRACE, json_real(cmds[i].grace_s));
@@ -400,8 +396,7 @@
 		t->spot_price = t->price;
 	if (get_number(o, W_BOOT, &t->boot_s))
 		t->boot_s = 0;
-	json_array_foreach(zones, i, e)
-	{
+	json_array_foreach (zones, i, e) {
 		const char *s = json_string_value(e);
 
 		if (s && t->nzones < WIRE_TYPES_MAX && strlen(s) < NAME_MAX_LEN)
@@ -421,8 +416,7 @@
 	*out = calloc(json_array_size(a), sizeof(**out));
 	if (!*out)
 		abort();
-	json_array_foreach(a, i, e)
-	{
+	json_array_foreach (a, i, e) {
 		if (!decode_type(e, &(*out)[*n]))
 			(*n)++;
 	}
@@ -474,7 +468,8 @@
 	return 0;
 }
 
-int wire_list_decode(const char *body, size_t len, struct listed_machine **out, size_t *n, int *more)
+int wire_list_decode(const char *body, size_t len, struct listed_machine **out, size_t *n,
+		     int *more)
 {
 	json_t *o = wire_parse(body, len), *a = json_object_get(o, W_MACHINES_LIST), *e;
 	size_t i;
@@ -488,8 +483,7 @@
 	*out = calloc(json_array_size(a) + 1, sizeof(**out));
 	if (!*out)
 		abort();
-	json_array_foreach(a, i, e)
-	{
+	json_array_foreach (a, i, e) {
 		if (!decode_listed(e, &(*out)[*n]))
 			(*n)++;
 	}
@@ -532,8 +526,7 @@
 	*ids = calloc(json_array_size(a) + 1, sizeof(**ids));
 	if (!*ids)
 		abort();
-	json_array_foreach(a, i, e)
-	{
+	json_array_foreach (a, i, e) {
 		if (json_is_string(e) && strlen(json_string_value(e)) < ID_MAX)
 			(*ids)[(*n)++] = strdup(json_string_value(e));
 	}
@@ -633,8 +626,7 @@
 
 	if (!a)
 		a = json_object_get(o, W_EVENTS);
-	json_array_foreach(a, i, e)
-	{
+	json_array_foreach (a, i, e) {
 		if (!wire_kv(e, &it))
 			each(ctx, &it);
 	}
@@ -650,8 +642,7 @@
 	json_t *e;
 	size_t i;
 
-	json_array_foreach(json_object_get(o, W_FAILED), i, e)
-	{
+	json_array_foreach (json_object_get(o, W_FAILED), i, e) {
 		if (json_is_string(e) && !strcmp(json_string_value(e), key))
 			return 1;
 	}
--- /dev/null
+++ b/tests/arguments.sh
@@ -0,0 +1,74 @@
+#!/bin/sh
+# Wrong settings and arguments, as an operator meets them: file, field and reason, exit 2.
+program=$1
+dir=$(mktemp -d)
+trap 'rm -r "$dir"' EXIT
+bad=0
+
+want() { # want STATUS TEXT ARGUMENTS...
+	status=$1 text=$2
+	shift 2
+	out=$("$program" "$@" 2>&1)
+	got=$?
+	if [ $got -ne "$status" ] || ! printf '%s' "$out" | grep -q -- "$text"; then
+		echo "FAIL: $* -> $got: $out (wanted $status, '$text')"
+		bad=1
+	fi
+}
+
+cat >"$dir/good.toml" <<'T'
+label = "n0"
+location = "a"
+front = "127.0.0.1:1"
+back = "127.0.0.1:2"
+something_new = 3
+[endpoints]
+cloud = "127.0.0.1:3"
+state = "127.0.0.1:4"
+[[facts.teams]]
+name = "core"
+[facts.workers]
+report_s = 3.0
+lease_s = 22.0
+gang_wait_s = 35.0
+gang_peer_s = 8.0
+cancel_s = 47.0
+[facts.state]
+rps = 150.0
+write_rps = 60.0
+value_kb = 8.0
+txn_ops = 16
+[facts.cloud]
+rps = 5.0
+list_lag_s = 6.0
+[facts.resources]
+cores = 0.048
+mem_mb = 104.0
+max_connections = 1800
+T
+printf 'rentals {\n  # keep idle machines for a minute\n  idle_patience_s = 60\n}\n' >"$dir/good.hcl"
+printf 'rentals {\n  patience = 60\n}\n' >"$dir/unknown.hcl"
+printf 'rentals {\n  headroom = -1\n}\n' >"$dir/range.hcl"
+sed 's/^lease_s.*/lease_s = "long"/' "$dir/good.toml" >"$dir/type.toml"
+sed '/^cancel_s/d' "$dir/good.toml" >"$dir/missing.toml"
+sed 's/^report_s.*/report_s = 0/' "$dir/good.toml" >"$dir/zero.toml"
+sed 's/^front.*/front = "nowhere"/' "$dir/good.toml" >"$dir/addr.toml"
+printf 'label = \n' >"$dir/syntax.toml"
+
+want 0 'settings are valid' --check --config "$dir/good.toml"
+want 0 'settings are valid' --check --config "$dir/good.toml" --operator-config "$dir/good.hcl"
+want 2 'unknown.hcl.*patience' --check --config "$dir/good.toml" --operator-config "$dir/unknown.hcl"
+want 2 'range.hcl: field rentals.headroom' --check --config "$dir/good.toml" --operator-config "$dir/range.hcl"
+want 2 'none.hcl: cannot be read' --check --config "$dir/good.toml" --operator-config "$dir/none.hcl"
+want 2 'type.toml: field facts.workers.lease_s: must be a number' --config "$dir/type.toml"
+want 2 'missing.toml: field facts.workers.cancel_s: missing' --config "$dir/missing.toml"
+want 2 'zero.toml: field facts.workers.report_s: must be above zero' --config "$dir/zero.toml"
+want 2 'addr.toml: field front: must be HOST:PORT' --config "$dir/addr.toml"
+want 2 'syntax.toml:1' --config "$dir/syntax.toml"
+want 2 'none.toml' --config "$dir/none.toml"
+want 2 'config FILE is needed' --check
+want 2 'unexpected argument' --config "$dir/good.toml" more
+want 2 'unrecognized option' --nonsense
+want 0 'ploverloft [0-9]' --version
+want 0 'operator-config' --help
+exit $bad
--- /dev/null
+++ b/tests/runner.c
@@ -0,0 +1,1046 @@
+/*
+ * Plays a scenario file: controllers' cores against the stand-ins, in simulated time. Every
+ * scenario runs under the checker of the rules and says what it expects. See tests/README.md.
+ */
+#include <math.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <utlist.h>
+
+#include "conf/conf.h"
+#include "core/core.h"
+#include "core/state.h"
+#include "standin.h"
+#include "util/log.h"
+#include "wire/names.h"
+
+#define STEP_S 0.05
+#define LATENCY_S 0.004
+#define WORDS 24
+
+/* hosts: controllers 0.., then these */
+enum { HOST_STATE = 100, HOST_CLOUD, HOST_USERS, HOST_WORKERS = 1000 };
+
+enum msg_kind { MSG_REQUEST, MSG_REPLY, MSG_TIMEOUT, MSG_REPORT, MSG_REPORT_REPLY, MSG_LINE };
+
+struct msg {
+	double at;
+	uint64_t order;
+	enum msg_kind kind;
+	int from, to;
+	uint64_t id;   /* call of a controller, or handle */
+	uint64_t life; /* of the controller that waits for it */
+	char *method, *path, *body;
+	int status;
+	uint64_t session, seq;
+	double sent;
+	struct msg *prev, *next;
+};
+
+struct node {
+	struct conf conf;
+	struct core *core;
+	uint64_t life;
+	bool up;
+	double back_at;
+	double skew;
+};
+
+struct cut {
+	int a, b;
+	double until;
+	bool hold;
+	struct cut *next;
+};
+
+struct user {
+	char id[ID_MAX];
+	enum user_kind kind;
+	int node;
+	uint64_t conn;
+	bool again;
+	double sent;
+	struct user *prev, *next;
+};
+
+struct world {
+	struct standin si;
+	struct conf conf;
+	struct node nodes[SI_NODES];
+	int nnodes;
+	double now;
+	double state_up_at;
+	double loss, repeat; /* shares of messages */
+	unsigned short rand48[3];
+	struct msg *queue;
+	uint64_t order;
+	struct cut *cuts;
+	struct user *users;
+	uint64_t next_conn;
+	int answers[600];
+	int failures;
+	const char *file;
+	int line;
+	bool started;
+	uint64_t seed;
+};
+
+struct handle {
+	int node, from;
+	uint64_t id, life;
+};
+
+static void fail(struct world *w, const char *fmt, const char *detail)
+{
+	fprintf(stderr, "%s:%d: at %.2f s: ", w->file, w->line, w->now);
+	fprintf(stderr, fmt, detail);
+	fputc('\n', stderr);
+	w->failures++;
+}
+
+/* --- messages --- */
+
+static bool cut_now(struct world *w, int a, int b, double *until, bool *hold)
+{
+	for (struct cut *c = w->cuts; c; c = c->next) {
+		bool ab = (c->a == a && (c->b == b || c->b < 0)) ||
+			  (c->a == b && (c->b == a || c->b < 0));
+
+		if (ab && w->now < c->until) {
+			*until = c->until;
+			*hold = c->hold;
+			return true;
+		}
+	}
+	return false;
+}
+
+static struct msg *msg_new(struct world *w, enum msg_kind kind, int from, int to, double at)
+{
+	struct msg *m = calloc(1, sizeof(*m));
+	struct msg *e;
+
+	if (!m)
+		abort();
+	m->kind = kind;
+	m->from = from;
+	m->to = to;
+	m->at = at;
+	m->sent = w->now;
+	m->order = w->order++;
+	for (e = w->queue ? w->queue->prev : NULL; e; e = e == w->queue ? NULL : e->prev)
+		if (e->at <= at)
+			break;
+	if (e)
+		DL_APPEND_ELEM(w->queue, e, m);
+	else
+		DL_PREPEND(w->queue, m);
+	return m;
+}
+
+static void msg_free(struct msg *m)
+{
+	free(m->method);
+	free(m->path);
+	free(m->body);
+	free(m);
+}
+
+static double later(struct world *w)
+{
+	return w->now + LATENCY_S * (0.5 + erand48(w->rand48));
+}
+
+static int host_of(struct world *w, const char *addr)
+{
+	struct si_machine *m;
+
+	if (!strcmp(addr, w->conf.state))
+		return HOST_STATE;
+	if (!strcmp(addr, w->conf.cloud))
+		return HOST_CLOUD;
+	for (int i = 0; i < w->nnodes; i++)
+		if (!strcmp(addr, w->nodes[i].conf.back))
+			return i;
+	m = si_machine_at(&w->si, addr);
+	return m ? HOST_WORKERS + (int)(m - w->si.machines) : -1;
+}
+
+static void drain(struct world *w, int n)
+{
+	struct node *node = &w->nodes[n];
+	struct core_action *a;
+
+	while (node->up && (a = core_take(node->core))) {
+		struct msg *m;
+
+		if (a->kind == ACT_ANSWER && a->id >= 1u << 30) {
+			m = msg_new(w, MSG_REPORT_REPLY, n, HOST_WORKERS + (int)(a->id >> 40),
+				    later(w));
+			m->id = a->id;
+			m->status = a->status;
+			m->body = a->body ? strdup(a->body) : NULL;
+		} else if (a->kind == ACT_ANSWER) {
+			m = msg_new(w, MSG_REPLY, n, HOST_USERS, later(w));
+			m->id = a->id;
+			m->status = a->status;
+			m->body = a->body ? strdup(a->body) : NULL;
+		} else {
+			int to = host_of(w, a->addr);
+			double at = later(w);
+
+			m = msg_new(w, MSG_TIMEOUT, n, n, w->now + a->timeout_s);
+			m->id = a->id;
+			m->life = node->life;
+			for (int copy = 0; to >= 0 && copy < 2; copy++) {
+				if (copy && erand48(w->rand48) >= w->repeat)
+					break;
+				m = msg_new(w, MSG_REQUEST, n, to, at + copy * 1.5);
+				m->id = copy ? 0 : a->id;
+				m->life = node->life;
+				m->method = strdup(a->method);
+				m->path = strdup(a->path);
+				m->body = strdup(a->body ? a->body : "");
+			}
+		}
+		core_action_free(a);
+	}
+}
+
+static struct core_time node_time(struct world *w, int n)
+{
+	struct core_time t = {w->now + 1000, w->now + 1.8e9 + w->nodes[n].skew};
+
+	return t;
+}
+
+static void si_reply(void *ctx, uint64_t handle, int status, const char *body)
+{
+	struct world *w = ctx;
+	struct handle *h = (struct handle *)(uintptr_t)handle;
+	struct msg *m;
+
+	if (h->id) {
+		m = msg_new(w, MSG_REPLY, h->from, h->node, later(w));
+		m->id = h->id;
+		m->life = h->life;
+		m->status = status;
+		m->body = strdup(body ? body : "");
+	}
+	free(h);
+}
+
+static void si_report(void *ctx, int machine, int node, const char *body)
+{
+	struct world *w = ctx;
+	struct msg *m = msg_new(w, MSG_REPORT, HOST_WORKERS + machine, node, later(w));
+
+	m->session = w->si.machines[machine].session;
+	m->seq = w->si.machines[machine].seq;
+	m->body = strdup(body);
+}
+
+/* Report answers carry the machine and the report they belong to in the connection's name. */
+static uint64_t report_conn(int machine, uint64_t seq)
+{
+	return (uint64_t)machine << 40 | 1u << 30 | (seq & 0x3fffffff);
+}
+
+static void deliver_request(struct world *w, struct msg *m)
+{
+	struct handle *h;
+
+	if (m->to < HOST_STATE)
+		return; /* controllers' back side: below */
+	h = calloc(1, sizeof(*h));
+	if (!h)
+		abort();
+	h->node = m->from;
+	h->from = m->to;
+	h->id = m->id;
+	h->life = m->life;
+	if (m->to == HOST_STATE)
+		si_state_request(&w->si, m->from, (uintptr_t)h, m->method, m->path, m->body);
+	else if (m->to == HOST_CLOUD)
+		si_cloud_request(&w->si, (uintptr_t)h, m->method, m->path, m->body);
+	else
+		si_worker_request(&w->si, &w->si.machines[m->to - HOST_WORKERS], (uintptr_t)h,
+				  m->path, m->body);
+}
+
+static void user_answer(struct world *w, struct msg *m)
+{
+	struct user *u;
+
+	DL_FOREACH (w->users, u)
+		if (u->conn == m->id)
+			break;
+	if (!u)
+		return;
+	if (m->status > 0 && m->status < 600)
+		w->answers[m->status]++;
+	if (!*u->id) {
+		/* a raw request: only its status counts */
+	} else if (u->kind == USER_SUBMIT) {
+		si_told_submit(&w->si, u->id, m->status);
+		if (m->status == 200 || m->status == 201)
+			si_told_state(&w->si, u->id, 200, m->body);
+	} else if (u->kind == USER_POLL) {
+		si_told_state(&w->si, u->id, m->status, m->body);
+	} else {
+		si_told_cancel(&w->si, u->id, m->status, m->body);
+	}
+	u->again = u->kind != USER_POLL && (m->status == 429 || m->status == 503 ||
+					    (u->kind == USER_CANCEL && m->status == 404));
+	u->conn = 0;
+	if (!u->again) {
+		DL_DELETE(w->users, u);
+		free(u);
+	}
+}
+
+static void deliver(struct world *w, struct msg *m)
+{
+	struct node *n = m->to < SI_NODES ? &w->nodes[m->to] : NULL;
+	struct core_answer a = {m->id, m->status, m->body ? m->body : "", 0};
+	struct core_request r = {0, CORE_FRONT, "POST", W_PATH_BEAT, m->body, 0};
+
+	a.len = strlen(a.body);
+	if (n &&
+	    (!n->up || ((m->kind == MSG_REPLY || m->kind == MSG_TIMEOUT) && n->life != m->life)))
+		return;
+	switch (m->kind) {
+	case MSG_REQUEST:
+		deliver_request(w, m);
+		break;
+	case MSG_REPLY:
+		if (m->to == HOST_USERS) {
+			user_answer(w, m);
+			break;
+		}
+		core_answer(n->core, node_time(w, m->to), &a);
+		break;
+	case MSG_TIMEOUT:
+		a.status = 0;
+		core_answer(n->core, node_time(w, m->to), &a);
+		break;
+	case MSG_REPORT:
+		r.conn = report_conn(m->from - HOST_WORKERS, m->seq);
+		r.len = strlen(m->body);
+		core_request(n->core, node_time(w, m->to), &r);
+		break;
+	case MSG_REPORT_REPLY: {
+		struct si_machine *x = &w->si.machines[m->to - HOST_WORKERS];
+
+		if ((x->report_seq & 0x3fffffff) == (m->id & 0x3fffffff))
+			si_worker_answer(&w->si, m->to - HOST_WORKERS, x->report_session,
+					 x->report_seq, m->status, m->body);
+		break;
+	}
+	case MSG_LINE:
+		break;
+	}
+	if (n && n->up)
+		drain(w, m->to);
+}
+
+static void hold_message(struct world *w, struct msg *m, double at)
+{
+	struct msg *again = msg_new(w, m->kind, m->from, m->to, at);
+	struct msg *prev = again->prev, *next = again->next;
+	uint64_t order = again->order;
+
+	*again = *m;
+	again->prev = prev;
+	again->next = next;
+	again->at = at;
+	again->order = order;
+	free(m);
+}
+
+static void run_due(struct world *w, double until)
+{
+	while (w->queue && w->queue->at <= until) {
+		struct msg *m = w->queue;
+		double end;
+		bool hold;
+
+		DL_DELETE(w->queue, m);
+		if (m->at > w->now)
+			w->now = m->at;
+		w->si.now = w->now;
+		if (m->kind != MSG_TIMEOUT && cut_now(w, m->from, m->to, &end, &hold)) {
+			if (hold) { /* in order, once the interruption ends */
+				hold_message(w, m, end + LATENCY_S);
+				continue;
+			}
+		} else if (m->kind == MSG_TIMEOUT || m->from >= HOST_USERS ||
+			   erand48(w->rand48) >= w->loss) {
+			deliver(w, m);
+		}
+		msg_free(m);
+	}
+}
+
+/* --- controllers --- */
+
+static void node_start(struct world *w, int i)
+{
+	struct node *n = &w->nodes[i];
+
+	n->up = true;
+	n->life++;
+	n->core = core_new(&n->conf, w->seed * 1000 + (uint64_t)i * 10 + n->life, node_time(w, i));
+	core_tick(n->core, node_time(w, i));
+	drain(w, i);
+}
+
+static void node_crash(struct world *w, int i, double back_s)
+{
+	struct node *n = &w->nodes[i];
+
+	if (!n->up)
+		return;
+	core_free(n->core);
+	n->core = NULL;
+	n->up = false;
+	n->back_at = w->now + back_s;
+}
+
+static int leader_index(struct world *w)
+{
+	for (int i = 0; i < w->nnodes; i++)
+		if (w->nodes[i].up && w->nodes[i].core->el.role == ROLE_LEAD)
+			return i;
+	return -1;
+}
+
+static int node_of(struct world *w, const char *word)
+{
+	int i = strcmp(word, "leader") ? atoi(word) : leader_index(w);
+
+	if (!strcmp(word, "follower"))
+		i = (leader_index(w) + 1) % w->nnodes;
+	if (i < 0 || i >= w->nnodes)
+		fail(w, "no such node: %s", word);
+	return i < 0 || i >= w->nnodes ? 0 : i;
+}
+
+/* --- users --- */
+
+static void user_send(struct world *w, struct user *u)
+{
+	char path[HTTP_PATH_MAX];
+	char *body = NULL;
+	struct core_request r = {0};
+	int i = u->node >= 0 ? u->node : (int)(erand48(w->rand48) * w->nnodes);
+	double end;
+	bool hold;
+
+	u->again = false;
+	u->sent = w->now;
+	if (!w->nodes[i].up || cut_now(w, HOST_USERS, i, &end, &hold)) {
+		u->again = true;
+		return;
+	}
+	u->conn = ++w->next_conn;
+	r.conn = u->conn;
+	r.method = u->kind == USER_POLL ? "GET" : "POST";
+	if (u->kind == USER_SUBMIT) {
+		snprintf(path, sizeof(path), W_PATH_JOBS);
+		json_t *spec = wire_job_encode(&si_job(&w->si, u->id)->spec);
+
+		body = json_dumps(spec, JSON_COMPACT);
+		json_decref(spec);
+		si_job(&w->si, u->id)->asked = true;
+	} else {
+		snprintf(path, sizeof(path), W_PATH_JOBS "/%s%s", u->id,
+			 u->kind == USER_CANCEL ? W_PATH_CANCEL : "");
+		if (u->kind == USER_CANCEL && si_job(&w->si, u->id))
+			si_job(&w->si, u->id)->cancel_asked = true;
+	}
+	r.path = path;
+	r.body = body ? body : "";
+	r.len = strlen(r.body);
+	core_request(w->nodes[i].core, node_time(w, i), &r);
+	free(body);
+	drain(w, i);
+}
+
+static void user_new(struct world *w, enum user_kind kind, const char *id, int node)
+{
+	struct user *u = calloc(1, sizeof(*u));
+
+	if (!u)
+		abort();
+	snprintf(u->id, sizeof(u->id), "%s", id);
+	u->kind = kind;
+	u->node = node;
+	DL_APPEND(w->users, u);
+	user_send(w, u);
+}
+
+static void users_step(struct world *w)
+{
+	struct user *u, *tmp;
+	struct si_job *j, *jtmp;
+
+	DL_FOREACH_SAFE (w->users, u, tmp) {
+		bool late = w->now - u->sent > 5;
+
+		if (u->kind == USER_POLL && (u->again || late)) {
+			DL_DELETE(w->users, u);
+			free(u);
+		} else if (u->again || late) {
+			user_send(w, u);
+		}
+	}
+	HASH_ITER (hh, w->si.jobs, j, jtmp)
+		if (j->accepted)
+			user_new(w, USER_POLL, j->spec.id, -1);
+}
+
+/* --- scenario lines --- */
+
+struct words {
+	char *w[WORDS];
+	int n;
+};
+
+static const char *opt(const struct words *x, const char *name, const char *def)
+{
+	size_t len = strlen(name);
+
+	for (int i = 0; i < x->n; i++)
+		if (!strncmp(x->w[i], name, len) && x->w[i][len] == '=')
+			return x->w[i] + len + 1;
+	return def;
+}
+
+static double num(const struct words *x, const char *name, double def)
+{
+	const char *s = opt(x, name, NULL);
+
+	return s ? atof(s) : def;
+}
+
+static void job_id(char *out, const char *word)
+{
+	snprintf(out, ID_MAX, W_JOB_PREFIX "%06d", atoi(word));
+}
+
+static struct si_job *declare_job(struct world *w, const struct words *x, const char *id)
+{
+	static const char *const prios[] = {"production", "high", "normal", "low"};
+	struct si_job *j = si_job(&w->si, id);
+	const char *kind = opt(x, "kind", "array"), *prio = opt(x, "prio", "normal");
+	struct job_spec *s;
+
+	if (j)
+		return j;
+	j = calloc(1, sizeof(*j));
+	if (!j)
+		abort();
+	s = &j->spec;
+	snprintf(s->id, sizeof(s->id), "%s", id);
+	snprintf(s->class_name, sizeof(s->class_name), "%s", opt(x, "class", "any"));
+	snprintf(s->team, sizeof(s->team), "%s", opt(x, "team", "core"));
+	snprintf(s->image, sizeof(s->image), "%s", opt(x, "image", "img"));
+	snprintf(s->zone, sizeof(s->zone), "%s", opt(x, "zone", ""));
+	if (opt(x, "type", NULL))
+		snprintf(s->types[s->ntypes++], NAME_MAX_LEN, "%s", opt(x, "type", ""));
+	s->kind = !strcmp(kind, "gang")	     ? JOB_GANG
+		  : !strcmp(kind, "service") ? JOB_SERVICE
+					     : JOB_ARRAY;
+	s->priority = PRIO_NORMAL;
+	for (int i = 0; i < 4; i++)
+		if (!strcmp(prios[i], prio))
+			s->priority = (enum job_priority)i;
+	s->ntasks = (uint32_t)num(x, "tasks", 1);
+	s->cpus = num(x, "cpus", 1);
+	s->gpus = num(x, "gpus", 0);
+	s->mem_gb = num(x, "mem", 1);
+	s->image_gb = num(x, "gb", 0.5);
+	s->estimate_s = num(x, "run", 5);
+	s->checkpoint_s = num(x, "checkpoint", 0);
+	s->save_s = num(x, "save", 1);
+	s->deadline_s = num(x, "deadline", -1);
+	s->one_zone = (int)num(x, "together", 0);
+	s->spread = (int)num(x, "spread", 0);
+	s->spot = (int)num(x, "spot", 0);
+	j->run_s = s->estimate_s;
+	j->bad = num(x, "bad", 0) > 0;
+	j->done = calloc(1, s->ntasks / 8 + 1);
+	HASH_ADD_STR(w->si.jobs, spec.id, j);
+	return j;
+}
+
+static void do_type(struct world *w, const struct words *x)
+{
+	struct machine_type t = {0};
+	char zones[256], *z, *save = NULL;
+
+	snprintf(t.name, sizeof(t.name), "%s", x->w[1]);
+	t.cpus = num(x, "cpus", 4);
+	t.gpus = num(x, "gpus", 0);
+	t.mem_gb = num(x, "mem", 16);
+	t.cache_gb = 50;
+	t.fetch_gb_per_s = num(x, "fetch", 1);
+	t.price = num(x, "price", 1);
+	t.spot_price = num(x, "spotprice", t.price / 3);
+	t.boot_s = num(x, "boot", 5);
+	snprintf(zones, sizeof(zones), "%s", opt(x, "zones", "a"));
+	for (z = strtok_r(zones, ",", &save); z; z = strtok_r(NULL, ",", &save))
+		snprintf(t.zones[t.nzones++], NAME_MAX_LEN, "%s", z);
+	si_type(&w->si, &t, (int)num(x, "capacity", 10));
+}
+
+static void do_team(struct world *w, const struct words *x)
+{
+	struct conf_team *t;
+
+	w->conf.teams = realloc(w->conf.teams, (w->conf.nteams + 1) * sizeof(*t));
+	if (!w->conf.teams)
+		abort();
+	t = &w->conf.teams[w->conf.nteams++];
+	memset(t, 0, sizeof(*t));
+	snprintf(t->name, sizeof(t->name), "%s", x->w[1]);
+	t->cpus = num(x, "cpus", 0);
+	t->cpus_max = num(x, "cpus_max", 0);
+	t->gpus = num(x, "gpus", 0);
+	t->gpus_max = num(x, "gpus_max", 0);
+}
+
+static void do_machines(struct world *w, const struct words *x)
+{
+	for (int i = 0; i < atoi(x->w[2]); i++) {
+		struct si_machine *m =
+		    si_machine(&w->si, x->w[1], opt(x, "zone", "a"), num(x, "spot", 0) > 0);
+
+		m->up_at = num(x, "up", 0);
+		m->faulty = num(x, "faulty", 0) > 0;
+	}
+}
+
+static void world_start(struct world *w)
+{
+	if (w->started)
+		return;
+	w->started = true;
+	if (!w->conf.nteams) {
+		char line[] = "team", name[] = "core";
+		struct words x = {{line, name}, 2};
+
+		do_team(w, &x);
+	}
+	w->si.nnodes = w->nnodes;
+	for (int i = 0; i < w->nnodes; i++) {
+		struct conf *f = &w->nodes[i].conf;
+
+		*f = w->conf;
+		snprintf(f->name, sizeof(f->name), "node-%d", i);
+		snprintf(f->front, sizeof(f->front), "10.0.0.%d:8080", i + 1);
+		snprintf(f->back, sizeof(f->back), "10.0.0.%d:8081", i + 1);
+		snprintf(w->si.node_names[i], NAME_MAX_LEN, "node-%d", i);
+		w->nodes[i].skew = (i - 1) * w->conf.skew_ms / 2000;
+	}
+	for (int i = 0; i < w->nnodes; i++)
+		node_start(w, i);
+}
+
+static void cut_add(struct world *w, int a, int b, double until, bool hold)
+{
+	struct cut *c = calloc(1, sizeof(*c));
+
+	if (!c)
+		abort();
+	c->a = a;
+	c->b = b;
+	c->until = until;
+	c->hold = hold;
+	c->next = w->cuts;
+	w->cuts = c;
+}
+
+static int host_word(struct world *w, const char *word)
+{
+	if (!strcmp(word, "state"))
+		return HOST_STATE;
+	if (!strcmp(word, "cloud"))
+		return HOST_CLOUD;
+	if (!strcmp(word, "users"))
+		return HOST_USERS;
+	if (!strcmp(word, "all"))
+		return -1;
+	if (!strncmp(word, "machine:", 8))
+		return HOST_WORKERS + atoi(word + 8);
+	return node_of(w, word);
+}
+
+/* cut A B for=S [mode=hold]; "workers" stands for all machines */
+static void do_cut(struct world *w, const struct words *x)
+{
+	double until = w->now + num(x, "for", 10);
+	bool hold = !strcmp(opt(x, "mode", "drop"), "hold");
+
+	if (!strcmp(x->w[2], "workers")) {
+		int a = host_word(w, x->w[1]);
+
+		for (int i = 0; i < w->si.nmachines; i++)
+			cut_add(w, a, HOST_WORKERS + i, until, hold);
+		return;
+	}
+	cut_add(w, host_word(w, x->w[1]), host_word(w, x->w[2]), until, hold);
+}
+
+static void do_fault(struct world *w, const struct words *x)
+{
+	const char *what = x->w[0];
+	struct si_machine *m;
+
+	if (!strcmp(what, "crash")) {
+		if (!strcmp(x->w[1], "all"))
+			for (int i = 0; i < w->nnodes; i++)
+				node_crash(w, i, num(x, "back", 3));
+		else
+			node_crash(w, node_of(w, x->w[1]), num(x, "back", 3));
+	} else if (!strcmp(what, "outage") && !strcmp(x->w[1], "state")) {
+		si_state_outage(&w->si, true);
+		w->state_up_at = w->now + num(x, "for", 10);
+	} else if (!strcmp(what, "outage")) {
+		w->si.cloud.down = strcmp(opt(x, "end", "0"), "1") != 0;
+	} else if (!strcmp(what, "refuse")) {
+		w->si.state.refuses[node_of(w, x->w[1])] = num(x, "end", 0) == 0;
+	} else if (!strcmp(what, "cut")) {
+		do_cut(w, x);
+	} else if (!strcmp(what, "loss")) {
+		w->loss = atof(x->w[1]);
+	} else if (!strcmp(what, "repeat")) {
+		w->repeat = atof(x->w[1]);
+	} else {
+		m = &w->si.machines[atoi(x->w[1])];
+		if (!strcmp(what, "kill"))
+			si_machine_off(&w->si, m, false);
+		else if (!strcmp(what, "take"))
+			si_machine_off(&w->si, m, true);
+		else if (!strcmp(what, "notice"))
+			m->notice_until = w->now + num(x, "for", 8), m->changed = true;
+		else if (!strcmp(what, "hang"))
+			m->hanging = num(x, "end", 0) == 0;
+		else
+			fail(w, "unknown line: %s", what);
+	}
+}
+
+static void do_user(struct world *w, const struct words *x)
+{
+	int node = opt(x, "node", NULL) ? node_of(w, opt(x, "node", "0")) : -1;
+	char id[ID_MAX];
+
+	job_id(id, x->w[1]);
+	if (!strcmp(x->w[0], "submit")) {
+		int copies = (int)num(x, "copies", 1);
+
+		for (int i = 0; i < copies; i++) {
+			char word[16];
+
+			snprintf(word, sizeof(word), "%d", atoi(x->w[1]) + i);
+			job_id(id, word);
+			declare_job(w, x, id);
+			user_new(w, USER_SUBMIT, id, node);
+		}
+	} else {
+		user_new(w, !strcmp(x->w[0], "poll") ? USER_POLL : USER_CANCEL, id, node);
+	}
+}
+
+/* Each check must be able to fail: what follows breaks a rule on purpose. */
+static void do_break(struct world *w, const struct words *x)
+{
+	char id[ID_MAX];
+
+	job_id(id, x->w[2]);
+	if (!strcmp(x->w[1], "start"))
+		si_force_start(&w->si, &w->si.machines[atoi(x->w[3])], id, (uint32_t)atoi(x->w[4]));
+	else
+		si_told_state(&w->si, id, atoi(x->w[3]), x->n > 4 ? x->w[4] : "");
+}
+
+static void raw_request(struct world *w, const struct words *x, const char *line)
+{
+	const char *body = strstr(line, "body=");
+	struct core_request r = {0, CORE_FRONT, x->w[1], x->w[2], "", 0};
+	struct user *u = calloc(1, sizeof(*u));
+	int i = leader_index(w) < 0 ? 0 : leader_index(w);
+
+	if (!u)
+		abort();
+	u->kind = USER_POLL;
+	u->conn = ++w->next_conn;
+	DL_APPEND(w->users, u);
+	r.conn = u->conn;
+	r.body = body ? body + 5 : "";
+	r.len = strlen(r.body);
+	core_request(w->nodes[i].core, node_time(w, i), &r);
+	drain(w, i);
+}
+
+static bool compare(double have, const char *op, double want)
+{
+	if (!strcmp(op, "=="))
+		return fabs(have - want) < 1e-9;
+	if (!strcmp(op, ">="))
+		return have >= want;
+	return have <= want;
+}
+
+static double measure(struct world *w, const char *what, const char *arg)
+{
+	char id[ID_MAX];
+	struct si_job *j;
+	double n = 0;
+
+	job_id(id, arg);
+	j = si_job(&w->si, id);
+	if (!strcmp(what, "done"))
+		return j && j->told_done;
+	if (!strcmp(what, "cancelled"))
+		return j && j->told_cancelled;
+	if (!strcmp(what, "tasksdone"))
+		return j ? (double)j->ndone : -1;
+	if (!strcmp(what, "starts"))
+		return j ? (double)j->starts : -1;
+	if (!strcmp(what, "answers"))
+		return w->answers[atoi(arg)];
+	if (!strcmp(what, "leaders")) {
+		for (int i = 0; i < w->nnodes; i++)
+			n += w->nodes[i].up && w->nodes[i].core->el.role == ROLE_LEAD;
+		return n;
+	}
+	if (!strcmp(what, "machines")) {
+		for (int i = 0; i < w->si.nmachines; i++)
+			n += w->si.machines[i].power == SI_UP &&
+			     (!strcmp(arg, "any") || !strcmp(w->si.machines[i].type->name, arg));
+		return n;
+	}
+	if (!strcmp(what, "running")) {
+		for (int i = 0; i < w->si.nmachines; i++)
+			for (struct si_task *t = w->si.machines[i].tasks; t; t = t->next)
+				n += t->state == TS_RUNNING && !strcmp(t->job, id);
+		return n;
+	}
+	if (!strcmp(what, "broken")) {
+		for (int r = 0; r < RULES; r++)
+			if (!strcmp(rule_names[r], arg))
+				n += w->si.broken[r] > 0;
+		return n;
+	}
+	fail(w, "unknown measure: %s", what);
+	return -1;
+}
+
+/* expect WHAT ARG OP NUMBER */
+static void do_expect(struct world *w, const struct words *x)
+{
+	double have = measure(w, x->w[1], x->w[2]);
+	char text[160];
+
+	if (compare(have, x->w[3], atof(x->w[4])))
+		return;
+	snprintf(text, sizeof(text), "%s %s is %g, expected %s %s", x->w[1], x->w[2], have, x->w[3],
+		 x->w[4]);
+	fail(w, "%s", text);
+}
+
+static void world_run(struct world *w, double until)
+{
+	world_start(w);
+	while (w->now < until - 1e-9) {
+		double next = fmin(until, (floor(w->now / STEP_S + 1e-6) + 1) * STEP_S);
+
+		run_due(w, next);
+		w->now = next;
+		if (w->si.state.down && w->now >= w->state_up_at)
+			si_state_outage(&w->si, false);
+		si_tick(&w->si, w->now);
+		for (int i = 0; i < w->nnodes; i++) {
+			if (!w->nodes[i].up && w->now >= w->nodes[i].back_at)
+				node_start(w, i);
+			if (!w->nodes[i].up)
+				continue;
+			core_tick(w->nodes[i].core, node_time(w, i));
+			drain(w, i);
+		}
+		if (floor(w->now) != floor(w->now - STEP_S))
+			users_step(w);
+	}
+}
+
+static void do_facts(struct world *w, const struct words *x)
+{
+	w->conf.report_s = num(x, "report", w->conf.report_s);
+	w->conf.lease_s = num(x, "lease", w->conf.lease_s);
+	w->conf.cancel_s = num(x, "cancel", w->conf.cancel_s);
+	w->conf.txn_ops = (int)num(x, "txn_ops", w->conf.txn_ops);
+	w->si.state.txn_ops = w->conf.txn_ops;
+}
+
+static void do_objective(struct world *w, const struct words *x)
+{
+	struct conf_objective *o;
+
+	w->conf.objectives = realloc(w->conf.objectives, (w->conf.nobjectives + 1) * sizeof(*o));
+	if (!w->conf.objectives)
+		abort();
+	o = &w->conf.objectives[w->conf.nobjectives++];
+	memset(o, 0, sizeof(*o));
+	o->kind = !strcmp(x->w[1], "guarantee") ? OBJ_GUARANTEE
+		  : !strcmp(x->w[1], "wait")	? OBJ_WAIT
+						: OBJ_PRICE;
+	snprintf(o->class_name, sizeof(o->class_name), "%s", opt(x, "class", ""));
+	o->within_s = num(x, "within", 0);
+	o->share = num(x, "share", 0);
+}
+
+static void do_line(struct world *w, char *line)
+{
+	char copy[1024];
+	struct words x = {0};
+	char *save = NULL, *p;
+	double at;
+
+	snprintf(copy, sizeof(copy), "%s", line);
+	for (p = strtok_r(line, " \t\n", &save); p && x.n < WORDS;
+	     p = strtok_r(NULL, " \t\n", &save))
+		x.w[x.n++] = p;
+	if (!x.n || x.w[0][0] == '#')
+		return;
+	if (!strcmp(x.w[0], "at")) {
+		at = atof(x.w[1]);
+		world_run(w, at);
+		x.n -= 2;
+		memmove(x.w, x.w + 2, (size_t)x.n * sizeof(*x.w));
+	}
+	if (!strcmp(x.w[0], "nodes"))
+		w->nnodes = atoi(x.w[1]);
+	else if (!strcmp(x.w[0], "seed"))
+		w->seed = strtoull(x.w[1], NULL, 10);
+	else if (!strcmp(x.w[0], "facts"))
+		do_facts(w, &x);
+	else if (!strcmp(x.w[0], "objective"))
+		do_objective(w, &x);
+	else if (!strcmp(x.w[0], "type"))
+		do_type(w, &x);
+	else if (!strcmp(x.w[0], "team"))
+		do_team(w, &x);
+	else if (!strcmp(x.w[0], "machines"))
+		do_machines(w, &x);
+	else if (!strcmp(x.w[0], "submit") || !strcmp(x.w[0], "poll") || !strcmp(x.w[0], "cancel"))
+		do_user(w, &x);
+	else if (!strcmp(x.w[0], "request"))
+		raw_request(w, &x, copy);
+	else if (!strcmp(x.w[0], "break"))
+		do_break(w, &x);
+	else if (!strcmp(x.w[0], "expect"))
+		do_expect(w, &x);
+	else if (strcmp(x.w[0], "until"))
+		do_fault(w, &x);
+	else
+		world_run(w, atof(x.w[1]));
+}
+
+static void world_init(struct world *w, const char *file, const struct si_ops *ops)
+{
+	memset(w, 0, sizeof(*w));
+	w->file = file;
+	w->nnodes = 3;
+	w->seed = 1;
+	w->rand48[0] = 7;
+	snprintf(w->conf.state, sizeof(w->conf.state), "10.2.0.1:2379");
+	snprintf(w->conf.cloud, sizeof(w->conf.cloud), "10.2.0.2:8443");
+	w->conf.skew_ms = 200;
+	w->conf.report_s = 2;
+	w->conf.lease_s = 10;
+	w->conf.gang_wait_s = 20;
+	w->conf.gang_peer_s = 4;
+	w->conf.cancel_s = 30;
+	w->conf.state_rps = 200;
+	w->conf.state_write_rps = 60;
+	w->conf.value_kb = 8;
+	w->conf.txn_ops = 16;
+	w->conf.cloud_rps = 5;
+	w->conf.list_lag_s = 3;
+	w->conf.cores = 0.1;
+	w->conf.mem_mb = 64;
+	w->conf.max_connections = 1000;
+	w->conf.idle_patience_s = w->conf.headroom = -1;
+	si_init(&w->si, ops, w, &w->conf);
+}
+
+static void world_free(struct world *w)
+{
+	struct user *u, *tmp;
+
+	for (int i = 0; i < w->nnodes; i++)
+		if (w->nodes[i].up)
+			core_free(w->nodes[i].core);
+	while (w->queue) {
+		struct msg *m = w->queue;
+
+		DL_DELETE(w->queue, m);
+		msg_free(m);
+	}
+	while (w->cuts) {
+		struct cut *c = w->cuts;
+
+		w->cuts = c->next;
+		free(c);
+	}
+	DL_FOREACH_SAFE (w->users, u, tmp)
+		free(u);
+	for (struct si_watch *x = w->si.state.watches; x; x = x->next)
+		free((void *)(uintptr_t)x->handle);
+	si_free(&w->si);
+	conf_free(&w->conf);
+}
+
+/* Rules broken that the scenario did not ask for. */
+static void check_rules(struct world *w, const char *expected)
+{
+	if (!w->si.starts_total)
+		si_broken(&w->si, RULE_NOTHING_RAN, "no start");
+	for (int r = 0; r < RULES; r++)
+		if (w->si.broken[r] && !strstr(expected, rule_names[r]))
+			fail(w, "rule broken: %s", w->si.why);
+}
+
+int main(int argc, char **argv)
+{
+	static const struct si_ops ops = {si_reply, si_report};
+	static struct world w;
+	char line[1024], expected[256] = "";
+	FILE *f = argc == 2 ? fopen(argv[1], "r") : NULL;
+
+	if (!f) {
+		fprintf(stderr, "usage: runner SCENARIO\n");
+		return 2;
+	}
+	log_setup("-", getenv("LOG_LEVEL") ? getenv("LOG_LEVEL") : "error");
+	world_init(&w, argv[1], &ops);
+	w.si.verbose = log_on(LOG_INFO);
+	while (fgets(line, sizeof(line), f)) {
+		w.line++;
+		if (!strncmp(line, "breaks ", 7))
+			snprintf(expected, sizeof(expected), "%.200s", line + 7);
+		else
+			do_line(&w, line);
+	}
+	fclose(f);
+	check_rules(&w, expected);
+	world_free(&w);
+	if (w.failures)
+		fprintf(stderr, "%d failures\n", w.failures);
+	return w.failures ? 1 : 0;
+}
--- /dev/null
+++ b/tests/standin.h
@@ -0,0 +1,191 @@
+/*
+ * Stand-ins for the systems around the controllers, after their published protocol: the state
+ * service, the cloud, the workers. They keep no clock; the same code serves simulated time and
+ * loopback. The checker of the rules watches what they do.
+ */
+#ifndef PLOVERLOFT_STANDIN_H
+#define PLOVERLOFT_STANDIN_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <uthash.h>
+
+#include "wire/wire.h"
+
+#define SI_NODES 8
+
+struct standin;
+
+struct si_ops {
+	/* answers the request known by `handle` */
+	void (*reply)(void *ctx, uint64_t handle, int status, const char *body);
+	/* a worker's report to a controller */
+	void (*report)(void *ctx, int machine, int node, const char *body);
+};
+
+/* --- rules --- */
+
+enum rule {
+	RULE_RAN_TWICE,
+	RULE_QUOTA,
+	RULE_WRONG_PLACE,
+	RULE_RAN_CANCELLED,
+	RULE_FORGOTTEN,
+	RULE_INVENTED,
+	RULE_NOT_DONE,
+	RULE_WENT_BACK,
+	RULE_NOTHING_RAN,
+	RULES
+};
+
+extern const char *const rule_names[RULES];
+
+/* --- jobs as their users know them --- */
+
+struct si_job {
+	struct job_spec spec;
+	double run_s;
+	bool bad; /* submitted with a mistake: fails everywhere */
+	bool asked, accepted, cancel_asked, told_cancelled, told_done;
+	double cancelled_at, progress;
+	uint8_t *done;
+	uint32_t ndone, starts;
+	UT_hash_handle hh;
+};
+
+/* --- state service --- */
+
+struct si_key {
+	char key[201];
+	json_t *value;
+	uint64_t version, lease;
+	UT_hash_handle hh;
+};
+
+struct si_lease {
+	uint64_t id;
+	int ttl_ms;
+	double ends;
+	struct si_lease *next;
+};
+
+struct si_change {
+	uint64_t revision;
+	char key[201];
+	json_t *value; /* NULL: dropped */
+};
+
+struct si_watch {
+	uint64_t handle, from;
+	char prefix[201];
+	double ends;
+	int node;
+	struct si_watch *next;
+};
+
+struct si_state {
+	struct si_key *keys;
+	struct si_lease *leases;
+	struct si_change *changes;
+	size_t nchanges, changes_cap;
+	struct si_watch *watches;
+	uint64_t revision, next_lease;
+	bool down;
+	bool refuses[SI_NODES];
+	int txn_ops;
+	size_t value_bytes;
+};
+
+/* --- machines --- */
+
+struct si_task {
+	char job[ID_MAX];
+	uint32_t task;
+	uint64_t attempt;
+	enum task_state state;
+	enum task_why why;
+	bool kept;
+	double image_at, progress, since, save_until, stopped_at;
+	struct si_task *next;
+};
+
+enum si_power { SI_BOOTING, SI_UP, SI_OFF, SI_DELETED };
+
+struct si_machine {
+	char id[ID_MAX], addr[NAME_MAX_LEN], zone[NAME_MAX_LEN];
+	const struct machine_type *type;
+	bool spot, faulty, hanging, cached_any;
+	enum si_power power;
+	double rented_at, up_at, off_at, notice_until;
+	uint64_t session, seq, token, reported_token;
+	double lease_from, next_report, last_report, report_out_until;
+	int node;
+	uint64_t report_seq, report_session;
+	double report_sent;
+	bool report_out, changed;
+	struct si_task *tasks;
+	int starts;
+};
+
+struct si_cloud {
+	struct machine_type *types;
+	size_t ntypes;
+	int capacity[WIRE_TYPES_MAX];
+	bool down;
+	int never_boot; /* so many of the next machines never come up */
+	struct {
+		char name[NAME_MAX_LEN];
+		char *answer;
+	} * requests;
+	size_t nrequests;
+};
+
+struct standin {
+	const struct si_ops *ops;
+	void *ctx;
+	const struct conf *conf;
+	double now;
+	struct si_state state;
+	struct si_cloud cloud;
+	struct si_machine *machines;
+	int nmachines, machines_cap;
+	struct si_job *jobs;
+	int nnodes;
+	char node_names[SI_NODES][NAME_MAX_LEN];
+	int broken[RULES];
+	bool verbose;
+	char why[256];
+	uint64_t starts_total;
+};
+
+void si_init(struct standin *s, const struct si_ops *ops, void *ctx, const struct conf *conf);
+void si_free(struct standin *s);
+void si_type(struct standin *s, const struct machine_type *t, int capacity);
+struct si_machine *si_machine(struct standin *s, const char *type, const char *zone, bool spot);
+struct si_machine *si_machine_at(struct standin *s, const char *addr);
+struct si_job *si_job(struct standin *s, const char *id);
+
+void si_state_request(struct standin *s, int node, uint64_t handle, const char *method,
+		      const char *path, const char *body);
+void si_state_outage(struct standin *s, bool down);
+void si_cloud_request(struct standin *s, uint64_t handle, const char *method, const char *path,
+		      const char *body);
+void si_worker_request(struct standin *s, struct si_machine *m, uint64_t handle, const char *path,
+		       const char *body);
+/* The answer to a report, or 0 for none. */
+void si_worker_answer(struct standin *s, int machine, uint64_t session, uint64_t seq, int status,
+		      const char *body);
+void si_machine_off(struct standin *s, struct si_machine *m, bool deleted);
+void si_tick(struct standin *s, double now);
+
+void si_broken(struct standin *s, enum rule r, const char *fmt, ...)
+    __attribute__((format(printf, 3, 4)));
+/* What a user was told. */
+void si_told_submit(struct standin *s, const char *id, int status);
+void si_told_state(struct standin *s, const char *id, int status, const char *body);
+void si_told_cancel(struct standin *s, const char *id, int status, const char *body);
+void si_force_start(struct standin *s, struct si_machine *m, const char *job, uint32_t task);
+
+#endif
--- /dev/null
+++ b/tests/unit.c
@@ -0,0 +1,266 @@
+/* Parsers against malformed and hostile input, and small pieces that scenarios do not reach. */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "conf/conf.h"
+#include "constants.h"
+#include "core/state.h"
+#include "net/http.h"
+#include "wire/wire.h"
+
+static int failures, checks;
+
+static void check(int ok, const char *what, const char *detail)
+{
+	checks++;
+	if (ok)
+		return;
+	failures++;
+	fprintf(stderr, "FAIL %s: %s\n", what, detail);
+}
+
+/* Every message is parsed from a block of exactly its size, so that a read beyond it is seen. */
+static enum http_result parse(struct http_msg *m, const char *text, size_t len, int response)
+{
+	char *copy = malloc(len ? len : 1);
+	enum http_result r;
+
+	memcpy(copy, text, len);
+	r = http_parse(m, copy, len, response, 1000);
+	free(copy);
+	return r;
+}
+
+static void test_http_requests(void)
+{
+	static const struct {
+		const char *text;
+		enum http_result want;
+	} cases[] = {
+	    {"GET / HTTP/1.1\r\n\r\n", HTTP_OK},
+	    {"GET / HTTP/1.1\n\n", HTTP_OK},
+	    {"POST /a HTTP/1.1\r\nContent-Length: 3\r\n\r\nabc", HTTP_OK},
+	    {"POST /a HTTP/1.1\r\nContent-Length: 3\r\n\r\nab", HTTP_MORE},
+	    {"POST /a HTTP/1.1\r\nContent-Le", HTTP_MORE},
+	    {"POST /a HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd", HTTP_BAD},
+	    {"POST /a HTTP/1.1\r\nContent-Length: -1\r\n\r\n", HTTP_BAD},
+	    {"POST /a HTTP/1.1\r\nContent-Length: 1e3\r\n\r\n", HTTP_BAD},
+	    {"POST /a HTTP/1.1\r\nContent-Length: \r\n\r\n", HTTP_BAD},
+	    {"POST /a HTTP/1.1\r\nContent-Length: 99999999999999999999\r\n\r\n", HTTP_BAD},
+	    {"POST /a HTTP/1.1\r\nContent-Length: 1001\r\n\r\n", HTTP_TOO_LARGE},
+	    {"POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", HTTP_BAD},
+	    {"GET / HTTP/2.0\r\n\r\n", HTTP_BAD},
+	    {"GET / HTTP/1.1 x\r\n\r\n", HTTP_BAD},
+	    {"GET  / HTTP/1.1\r\n\r\n", HTTP_BAD},
+	    {"get / HTTP/1.1\r\n\r\n", HTTP_BAD},
+	    {"GET http://x/ HTTP/1.1\r\n\r\n", HTTP_BAD},
+	    {"GET /\x01 HTTP/1.1\r\n\r\n", HTTP_BAD},
+	    {"GET / HTTP/1.1\r\n: v\r\n\r\n", HTTP_BAD},
+	    {"GET / HTTP/1.1\r\nno colon\r\n\r\n", HTTP_BAD},
+	    {"GET / HTTP/1.1\r\n folded: v\r\n\r\n", HTTP_BAD},
+	    {"GET / HTTP/1.1\r\nA b: v\r\n\r\n", HTTP_BAD},
+	    {"\r\n\r\n", HTTP_BAD},
+	    {"\x16\x03\x01\x02\n", HTTP_BAD},
+	    {"METHODTOOLONG / HTTP/1.1\r\n\r\n", HTTP_BAD},
+	};
+	struct http_msg m;
+
+	for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++)
+		check(parse(&m, cases[i].text, strlen(cases[i].text), 0) == cases[i].want,
+		      "http request", cases[i].text);
+	check(parse(&m, "GET /\0x HTTP/1.1\r\n\r\n", 21, 0) == HTTP_BAD, "http", "NUL in path");
+}
+
+/* Whatever is cut off must ask for more or be refused, never be taken for whole. */
+static void test_http_pieces(void)
+{
+	const char *text = "POST /api HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\nbody";
+	struct http_msg m;
+
+	for (size_t n = 0; n < strlen(text); n++)
+		check(parse(&m, text, n, 0) == HTTP_MORE, "http piece", text + n);
+	check(parse(&m, text, strlen(text), 0) == HTTP_OK && m.body_len == 4, "http whole", text);
+}
+
+static void test_http_head_limit(void)
+{
+	size_t n = HTTP_HEAD_MAX + 100;
+	char *big = malloc(n);
+	struct http_msg m;
+
+	memset(big, 'a', n);
+	check(http_parse(&m, big, n, 0, 1000) == HTTP_BAD, "http", "endless line");
+	memcpy(big, "GET / HTTP/1.1\r\nX: ", 19);
+	check(http_parse(&m, big, n, 0, 1000) == HTTP_BAD, "http", "endless header");
+	free(big);
+}
+
+static void test_http_responses(void)
+{
+	struct http_msg m;
+	const char *ok = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nConnection: close\r\n\r\n{}";
+
+	check(parse(&m, ok, strlen(ok), 1) == HTTP_OK && m.status == 200 && m.close, "response",
+	      ok);
+	check(parse(&m, "HTTP/1.1 2x0 OK\r\n\r\n", 19, 1) == HTTP_BAD, "response", "status");
+	check(parse(&m, "HTTP/1.1\r\n\r\n", 12, 1) == HTTP_BAD, "response", "no status");
+}
+
+/* Single bytes changed at random in a valid request: any answer, but no read out of bounds. */
+static void test_http_mutations(void)
+{
+	const char *text = "POST /api/jobs HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\nbody";
+	unsigned short seed[3] = {1, 2, 3};
+	char copy[128];
+	struct http_msg m;
+	int ok = 0;
+
+	for (int i = 0; i < 20000; i++) {
+		memcpy(copy, text, strlen(text));
+		for (int k = 0; k < 3; k++)
+			copy[(size_t)(erand48(seed) * (double)strlen(text))] =
+			    (char)(erand48(seed) * 256);
+		ok += parse(&m, copy, strlen(text), 0) == HTTP_OK;
+	}
+	check(ok > 0 && ok < 20000, "http", "mutations are told apart");
+}
+
+static const char *good_job =
+    "{\"uid\":\"job-1\",\"naipe\":\"c\",\"grupo\":\"t\",\"feitio\":\"array\",\"vez\":\"normal\","
+    "\"partes\":3,\"cores\":1.0,\"gpus\":0,\"memGb\":2,\"molde\":\"i\",\"pullGb\":1,"
+    "\"feitiosMaquina\":null,\"praca\":null,\"together\":false,\"scatter\":false,"
+    "\"avulsas\":true,\"previstoS\":10,\"marcoS\":0,\"gravarS\":0,\"prazoS\":null}";
+
+static int job_with(const char *key, const char *value)
+{
+	json_t *o = wire_parse(good_job, strlen(good_job));
+	struct job_spec spec;
+	const char *why;
+	int rc;
+
+	if (value)
+		json_object_set_new(o, key, json_loads(value, JSON_DECODE_ANY, NULL));
+	else
+		json_object_del(o, key);
+	rc = wire_job_decode(o, &spec, &why);
+	json_decref(o);
+	return rc;
+}
+
+static void test_jobs(void)
+{
+	static const char *const bad[][2] = {
+	    {"uid", "\"job-\""},
+	    {"uid", "\"job-1x\""},
+	    {"uid", "\"jab-1\""},
+	    {"uid", "7"},
+	    {"partes", "0"},
+	    {"partes", "-1"},
+	    {"partes", "1.5"},
+	    {"partes", "100001"},
+	    {"partes", "\"3\""},
+	    {"cores", "-1"},
+	    {"cores", "\"NaN\""},
+	    {"cores", "1e300"},
+	    {"memGb", "null"},
+	    {"feitio", "\"other\""},
+	    {"vez", "\"soon\""},
+	    {"together", "0"},
+	    {"avulsas", "null"},
+	    {"feitiosMaquina", "[]"},
+	    {"feitiosMaquina", "[1]"},
+	    {"praca", "\"\""},
+	    {"praca", "3"},
+	    {"prazoS", "-2"},
+	    {"molde", "\"\""},
+	    {"grupo", "null"},
+	};
+	static const char *const needed[] = {
+	    "uid",     "naipe",	  "grupo",     "feitio", "vez",	   "partes",
+	    "cores",   "gpus",	  "memGb",     "molde",	 "pullGb", "together",
+	    "scatter", "avulsas", "previstoS", "marcoS", "gravarS"};
+	static const char *const optional[] = {"feitiosMaquina", "praca", "prazoS"};
+
+	check(job_with("other", "[{}]") == 0, "job", "unknown field is ignored");
+	for (size_t i = 0; i < sizeof(bad) / sizeof(bad[0]); i++)
+		check(job_with(bad[i][0], bad[i][1]) != 0, bad[i][0], bad[i][1]);
+	for (size_t i = 0; i < sizeof(needed) / sizeof(needed[0]); i++)
+		check(job_with(needed[i], NULL) != 0, "job without", needed[i]);
+	for (size_t i = 0; i < sizeof(optional) / sizeof(optional[0]); i++)
+		check(job_with(optional[i], NULL) == 0, "job without", optional[i]);
+	check(!wire_parse("{\"a\":NaN}", 9), "json", "NaN");
+	check(!wire_parse("{\"a\":1}x", 8), "json", "trailing");
+	check(!wire_parse("", 0), "json", "empty");
+}
+
+static void test_job_roundtrip(void)
+{
+	json_t *o = wire_parse(good_job, strlen(good_job)), *again;
+	struct job_spec a, b;
+	const char *why;
+
+	check(!wire_job_decode(o, &a, &why), "job", "decode");
+	again = wire_job_encode(&a);
+	check(!wire_job_decode(again, &b, &why) && !memcmp(&a, &b, sizeof(a)), "job", "round trip");
+	json_decref(o);
+	json_decref(again);
+}
+
+static void test_reports(void)
+{
+	static const char *const bad[] = {
+	    "",
+	    "{}",
+	    "[]",
+	    "{\"poleiro\":\"vm-1\"}",
+	    "{\"poleiro\":\"vm-1\",\"endpoint\":\"a:1\",\"feitioMaquina\":\"g\",\"praca\":\"a\","
+	    "\"avulsas\":false,\"turno\":1,\"compasso\":1,\"batuta\":1,"
+	    "\"partes\":[{\"parte\":\"job-1\",\"entrada\":1,\"estado\":\"running\"}]}",
+	    "{\"poleiro\":\"vm-1\",\"endpoint\":\"a:1\",\"feitioMaquina\":\"g\",\"praca\":\"a\","
+	    "\"avulsas\":false,\"turno\":1,\"compasso\":1,\"batuta\":1,"
+	    "\"partes\":[{\"parte\":\"job-1/0\",\"entrada\":1,\"estado\":\"dancing\"}]}",
+	};
+	struct report r;
+
+	/* A report half understood would make absence of proof look like proof. */
+	for (size_t i = 0; i < sizeof(bad) / sizeof(bad[0]); i++)
+		check(wire_report_decode(bad[i], strlen(bad[i]), &r) != 0, "report", bad[i]);
+}
+
+static void test_bits(void)
+{
+	uint8_t bits[64], back[64];
+	unsigned short seed[3] = {5, 6, 7};
+
+	for (uint32_t n = 1; n <= 512; n += 7) {
+		char *text;
+
+		memset(bits, 0, sizeof(bits));
+		memset(back, 0, sizeof(back));
+		for (uint32_t k = 0; k < n; k++)
+			if (erand48(seed) < 0.4)
+				bits[k / 8] |= (uint8_t)(1u << (k % 8));
+		text = bits_encode(bits, n);
+		check(!bits_decode(text, back, n) && !memcmp(bits, back, sizeof(bits)), "bits",
+		      text);
+		free(text);
+	}
+	check(bits_decode("!", back, 8) != 0, "bits", "bad letter");
+	check(bits_decode("____", back, 8) != 0, "bits", "too many");
+}
+
+int main(void)
+{
+	test_http_requests();
+	test_http_pieces();
+	test_http_head_limit();
+	test_http_responses();
+	test_http_mutations();
+	test_jobs();
+	test_job_roundtrip();
+	test_reports();
+	test_bits();
+	printf("%d passed, %d failed\n", checks - failures, failures);
+	return failures != 0;
+}
