--- a/tests/arguments.sh
+++ b/tests/arguments.sh
@@ -8,7 +8,7 @@
 want() { # want STATUS TEXT ARGUMENTS...
 	status=$1 text=$2
 	shift 2
-	out=$("$program" "$@" 2>&1)
+	out=$(timeout 10 "$program" "$@" 2>&1)
 	got=$?
 	if [ $got -ne "$status" ] || ! printf '%s' "$out" | grep -q -- "$text"; then
 		echo "FAIL: $* -> $got: $out (wanted $status, '$text')"
--- a/tests/smoke.c
+++ b/tests/smoke.c
@@ -8,6 +8,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -196,6 +197,8 @@
 	if (s->pids[i] < 0)
 		abort();
 	if (s->pids[i] == 0) {
+		/* A test that ends early must not leave controllers behind. */
+		prctl(PR_SET_PDEATHSIG, SIGKILL);
 		setenv("LOG_LEVEL", "error", 1);
 		execl(s->program, s->program, "--config", path, (char *)NULL);
 		_exit(127);
