--- a/tests/smoke.c
+++ b/tests/smoke.c
@@ -59,9 +59,19 @@
 	return ntohs(sa.sin_port);
 }
 
+/* The system may offer a port again once it is closed: two listeners would meet on it. */
 static void new_addr(char *out)
 {
-	snprintf(out, 64, "127.0.0.1:%d", free_port());
+	static int used[64], nused;
+	int port = free_port();
+
+	for (int i = 0; i < nused; i++)
+		if (used[i] == port) {
+			port = free_port();
+			i = -1;
+		}
+	used[nused++] = port;
+	snprintf(out, 64, "127.0.0.1:%d", port);
 }
 
 /* --- stand-ins as servers --- */
