--- a/daemon/main.c
+++ b/daemon/main.c
@@ -153,6 +153,7 @@
 	if (conf_load(&conf, a.config, err) ||
 	    (a.operator_config && conf_load_operator(&conf, a.operator_config, err))) {
 		fprintf(stderr, "ploverloft: %s\n", err);
+		conf_free(&conf);
 		return 2;
 	}
 	if (a.check) {
--- a/src/constants.h
+++ b/src/constants.h
@@ -55,23 +55,25 @@
 #define CANCEL_MARGIN_S 2.0	 /* seconds off cancel_s: a late turn, and the way of messages */
 
 /* --- users --- */
-#define USER_QUEUE_MAX 400	 /* waiting submissions: beyond it 429, they would wait seconds */
-#define USER_READS_MAX 300	 /* reads under way for users: beyond it 429 */
-#define USER_WAIT_S 3.5		 /* seconds: a user gives up at 5, the answer has to travel */
-#define RETRY_AFTER_S 1		 /* seconds: the least a user waits anyway */
-#define RETRY_AFTER_BUSY_S 2	 /* seconds: a full queue drains in about this time */
-#define FINAL_CACHE_MAX 4096	 /* final states kept: about 0.5 MB; the oldest go first */
-#define SUBMIT_BATCH_BYTES 48000 /* bytes of one transaction of submissions: 64 KiB is its limit   \
-				  */
+#define USER_QUEUE_MAX 400   /* waiting submissions: beyond it 429, they would wait seconds */
+#define USER_READS_MAX 300   /* reads under way for users: beyond it 429 */
+#define USER_WAIT_S 3.5	     /* seconds: a user gives up at 5, the answer has to travel */
+#define RETRY_AFTER_S 1	     /* seconds: the least a user waits anyway */
+#define RETRY_AFTER_BUSY_S 2 /* seconds: a full queue drains in about this time */
+#define FINAL_CACHE_MAX 4096 /* final states kept: about 0.5 MB; the oldest go first */
+#define SUBMIT_BATCH_BYTES                                                                         \
+	48000 /* bytes of one transaction of submissions: 64 KiB is its limit                      \
+	       */
 
 /* --- commits --- */
-#define COMMIT_BYTES 48000	/* bytes of one transaction: 64 KiB is the limit, keys included */
-#define COMMIT_RETRY_S 0.25	/* seconds before a refused transaction is sent again */
-#define WRITE_SHARE_LEADER 0.85 /* share of write_rps the leader uses: the rest takes submissions  \
-				 */
-#define DONE_CHUNK_TASKS 16384	/* tasks whose done bits share one key: 2.7 KB as base64 */
-#define MACHINE_TASKS_MAX 140	/* bindings on a machine: one value of 8 KiB holds them */
-#define ATTEMPT_SHIFT 20	/* bits: a million starts under one token */
+#define COMMIT_BYTES 48000  /* bytes of one transaction: 64 KiB is the limit, keys included */
+#define COMMIT_RETRY_S 0.25 /* seconds before a refused transaction is sent again */
+#define WRITE_SHARE_LEADER                                                                         \
+	0.85		       /* share of write_rps the leader uses: the rest takes submissions   \
+				*/
+#define DONE_CHUNK_TASKS 16384 /* tasks whose done bits share one key: 2.7 KB as base64 */
+#define MACHINE_TASKS_MAX 140  /* bindings on a machine: one value of 8 KiB holds them */
+#define ATTEMPT_SHIFT 20       /* bits: a million starts under one token */
 
 /* --- load --- */
 #define RANGE_LIMIT 500	   /* items per page: pages stay below 512 KiB */
@@ -79,11 +81,13 @@
 
 /* --- machines --- */
 #define MACHINE_FRESH_REPORTS 2.5 /* reports missed before a machine gets no new tasks */
-#define MACHINE_DEAD_MARGIN_S 1.0 /* seconds beyond the worker's lease: its tasks are lost anyway  \
-				   */
-#define MACHINE_SHOW_S 3.0	/* seconds between questions to a machine not heard of this term */
-#define MACHINE_BOOT_FACTOR 3.0 /* times the boot time before a machine counts as never coming up  \
-				 */
+#define MACHINE_DEAD_MARGIN_S                                                                      \
+	1.0		   /* seconds beyond the worker's lease: its tasks are lost anyway         \
+			    */
+#define MACHINE_SHOW_S 3.0 /* seconds between questions to a machine not heard of this term */
+#define MACHINE_BOOT_FACTOR                                                                        \
+	3.0 /* times the boot time before a machine counts as never coming up                      \
+	     */
 #define MACHINE_BOOT_EXTRA_S 20.0 /* seconds on top: short boots vary more */
 #define MACHINE_GONE_LISTS 2	  /* lists without it before a listed, silent machine is deleted */
 #define MACHINE_FAULT_JOBS 2	  /* different jobs that fail on a machine before it is drained */
--- a/src/net/net.c
+++ b/src/net/net.c
@@ -148,6 +148,8 @@
 	if (c->dead)
 		return;
 	c->dead = 1;
+	/* Closing alone leaves it with epoll while a forked child still holds the descriptor. */
+	epoll_ctl(n->ep, EPOLL_CTL_DEL, c->fd, NULL);
 	close(c->fd);
 	n->nconns--;
 	if (c->kind == CONN_SERVER) {
