Pairing by quantum and rho in every controller, over a protobuf back link

Cause: the leader levelled shares itself, the design asks for pairing. Each controller pairs its rendezvous part of the slots; single grants first, then kept or switched slots, then levels.

--- a/src/constants.h
+++ b/src/constants.h
@@ -108,6 +108,9 @@
 #define ERROR_BACKOFF_MAX_S 60.0 /* seconds: a job that fails everywhere costs one try a minute */
 #define ERROR_JOB_MACHINES 4	 /* machines remembered on which a job failed */
 #define REFUSED_BACKOFF_S 1.0	 /* seconds after a refused start: the description is on its way */
+#define PAIR_QUANTUM_S 5.0	 /* seconds between pairings, from the design */
+#define PAIR_JITTER 0.4		 /* share of the quantum, so that controllers' loads spread */
+#define TURN_S 2.0		 /* seconds a freed slot is kept for its job: a round or two */
 #define GPU_WASTE_S 3.0	     /* seconds: what taking room beside unused GPUs is worth in waiting */
 #define FIT_WEIGHT_S 0.5     /* seconds: the best fit matters less than a held image */
 #define PREEMPT_AFTER_S 0.2  /* seconds of waiting before lower work is stopped */
--- a/src/core/core.c
+++ b/src/core/core.c
@@ -25,6 +25,9 @@
 	c->teams = calloc(conf->nteams + 1, sizeof(*c->teams));
 	if (!c->teams)
 		abort();
+	c->peer_live = calloc(conf->npeers + 1, sizeof(*c->peer_live));
+	if (!c->peer_live)
+		abort();
 	for (size_t i = 0; i < conf->nteams; i++)
 		c->teams[i].conf = &conf->teams[i];
 	return c;
@@ -114,6 +117,8 @@
 			core_reply_error(c, r->conn, 405, 0, "method");
 		else
 			workers_beat(c, r);
+	} else if (r->side == CORE_BACK && !strcmp(r->path, PAIR_PATH)) {
+		pair_request(c, r);
 	} else {
 		users_request(c, r);
 	}
@@ -146,6 +151,7 @@
 	machine_tick(c);
 	round_tick(c);
 	rent_tick(c);
+	pair_tick(c);
 	commit_tick(c);
 	workers_tick(c);
 }
@@ -194,5 +200,6 @@
 	}
 	free(c->types);
 	free(c->teams);
+	free(c->peer_live);
 	free(c);
 }
--- a/src/core/jobs.c
+++ b/src/core/jobs.c
@@ -264,6 +264,12 @@
 	m->mem_gb += j->spec.mem_gb;
 	if (!m->nbindings)
 		m->idle_since = c->now;
+	/* The slot stays with its job, unless pairing switched it to another. */
+	if (j->spec.kind == JOB_ARRAY && !j->ghost) {
+		snprintf(m->turn, sizeof(m->turn), "%s",
+			 *b->switched_to ? b->switched_to : j->spec.id);
+		m->turn_until = c->now + TURN_S;
+	}
 	free(b);
 	commit_machine(c, m);
 }
--- /dev/null
+++ b/src/core/pair.c
@@ -0,0 +1,386 @@
+/*
+ * Pairwise share switching, after the Cilk-NOW macroscheduler. Each quantum the leader hands every
+ * live controller its hash part of the slots: a slot is the part of a machine that one array task
+ * takes, since there are more jobs than machines here. A controller writes its counts per job as
+ * one value, reads and sums those of all, draws a partner for each slot with probability
+ * proportional to the partner's count, and answers with the switches. A switched slot finishes its
+ * task, sits out meanwhile, and then serves its new job.
+ */
+#include <math.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <xxhash.h>
+
+#include "core/state.h"
+#include "peer.pb-c.h"
+#include "util/log.h"
+
+struct pair_count {
+	char id[ID_MAX];
+	double slots;
+	bool open;
+	UT_hash_handle hh;
+};
+
+/* A part under way in this controller: counts are being written, then read. */
+struct pair_work {
+	uint64_t conn; /* the leader's request; 0: the leader's own part */
+	Peer__Part *part;
+	struct pair_count *counts;
+};
+
+static void counts_free(struct pair_count **counts)
+{
+	struct pair_count *p, *tmp;
+
+	HASH_ITER (hh, *counts, p, tmp) {
+		HASH_DEL(*counts, p);
+		free(p);
+	}
+}
+
+static void work_free(void *arg)
+{
+	struct pair_work *w = arg;
+
+	counts_free(&w->counts);
+	peer__part__free_unpacked(w->part, NULL);
+	free(w);
+}
+
+static struct pair_count *count_get(struct pair_count **counts, const char *id)
+{
+	struct pair_count *p;
+
+	HASH_FIND_STR(*counts, id, p);
+	if (p)
+		return p;
+	p = calloc(1, sizeof(*p));
+	if (!p)
+		abort();
+	snprintf(p->id, sizeof(p->id), "%s", id);
+	HASH_ADD_STR(*counts, id, p);
+	return p;
+}
+
+/* The chance that a slot of a job with m_b slots goes over to one with m_a, if m_a < m_b. */
+double pair_rho(double m_a, double m_b)
+{
+	if (m_a <= 0 || m_a >= m_b)
+		return 0;
+	return fmin(1, (m_b * m_b - m_a * m_a) / (2 * m_a * m_b));
+}
+
+/* A partner other than the slot's own job, drawn in proportion to its count. */
+static struct pair_count *draw(struct core *c, struct pair_work *w, double total)
+{
+	double at = core_random(c) * total;
+	struct pair_count *p, *tmp;
+
+	HASH_ITER (hh, w->counts, p, tmp) {
+		at -= p->slots;
+		if (at < 0)
+			return p;
+	}
+	return NULL;
+}
+
+static void switches_send(struct core *c, struct pair_work *w, Peer__Switches *out)
+{
+	size_t n = peer__switches__get_packed_size(out);
+	uint8_t *buf = malloc(n + 1);
+
+	if (!buf)
+		abort();
+	peer__switches__pack(out, buf);
+	if (w->conn) {
+		core_reply(c, w->conn, 200, 0, NULL);
+		c->actions->prev->body = (char *)buf;
+		c->actions->prev->len = n;
+		return;
+	}
+	pair_take_switches(c, buf, n);
+	free(buf);
+}
+
+static void pair_decide(struct core *c, struct pair_work *w)
+{
+	size_t n = w->part->n_slots;
+	Peer__Switch *all = calloc(n + 1, sizeof(*all)), **list = calloc(n + 1, sizeof(*list));
+	Peer__Switches out = PEER__SWITCHES__INIT;
+	struct pair_count *p, *tmp;
+	double total = 0;
+
+	if (!all || !list)
+		abort();
+	HASH_ITER (hh, w->counts, p, tmp)
+		total += p->slots;
+	for (size_t i = 0; i < n; i++) {
+		Peer__Slot *s = w->part->slots[i];
+		struct pair_count *b = count_get(&w->counts, s->job), *a = draw(c, w, total);
+
+		if (!a || a == b || !a->open || core_random(c) >= pair_rho(a->slots, b->slots))
+			continue;
+		peer__switch__init(&all[i]);
+		all[i].slot = s;
+		all[i].to = a->id;
+		list[out.n_switches++] = &all[i];
+	}
+	out.token = w->part->token;
+	out.switches = list;
+	switches_send(c, w, &out);
+	free(all);
+	free(list);
+}
+
+struct sum_ctx {
+	struct pair_work *w;
+};
+
+static void sum_item(void *ctx, const struct kv_item *it)
+{
+	struct sum_ctx *x = ctx;
+	const char *job;
+	json_t *v;
+
+	/* Counts of an earlier leader's quantum say nothing about this one. */
+	if ((uint64_t)json_integer_value(json_object_get(it->value, "token")) != x->w->part->token)
+		return;
+	json_object_foreach (json_object_get(it->value, "counts"), job, v) {
+		if (strlen(job) < ID_MAX)
+			count_get(&x->w->counts, job)->slots += json_number_value(v);
+	}
+}
+
+static void on_counts(struct core *c, struct call *call, int status, const char *body, size_t len)
+{
+	struct pair_work *w = call->arg;
+	struct sum_ctx x = {w};
+	json_t *o;
+
+	store_heard(c, status);
+	if (status == 200) {
+		o = wire_parse(body, len);
+		wire_items(o, sum_item, &x);
+		json_decref(o);
+		pair_decide(c, w);
+	} else if (w->conn) {
+		core_reply_error(c, w->conn, 503, 0, "state");
+	}
+	work_free(w);
+}
+
+static void on_written(struct core *c, struct call *call, int status, const char *body, size_t len)
+{
+	struct pair_work *w = call->arg;
+
+	(void)body;
+	(void)len;
+	store_heard(c, status);
+	if (status == 200) {
+		store_range(c, "p/", "", on_counts, w)->drop = work_free;
+		return;
+	}
+	if (w->conn)
+		core_reply_error(c, w->conn, 503, 0, "state");
+	work_free(w);
+}
+
+/* Starts on a part: the own counts are written as one value. */
+static void pair_begin(struct core *c, uint64_t conn, const uint8_t *data, size_t len)
+{
+	Peer__Part *part = peer__part__unpack(NULL, len, data);
+	struct pair_count *own = NULL, *p, *tmp;
+	json_t *counts = json_object();
+	struct pair_work *w;
+	char key[CONF_NAME_MAX + 4];
+	struct txn t;
+
+	if (!part) {
+		json_decref(counts);
+		core_reply_error(c, conn, 400, 0, "part");
+		return;
+	}
+	w = calloc(1, sizeof(*w));
+	if (!w)
+		abort();
+	w->conn = conn;
+	w->part = part;
+	for (size_t i = 0; i < part->n_open; i++)
+		count_get(&w->counts, part->open[i]->job)->open = true;
+	for (size_t i = 0; i < part->n_slots; i++)
+		count_get(&own, part->slots[i]->job)->slots++;
+	HASH_ITER (hh, own, p, tmp)
+		json_object_set_new(counts, p->id, json_integer((json_int_t)p->slots));
+	counts_free(&own);
+	snprintf(key, sizeof(key), "p/%s", c->conf->name);
+	txn_begin(&t);
+	txn_put(&t, key, json_pack("{s:I,s:o}", "token", (json_int_t)part->token, "counts", counts),
+		0);
+	store_commit(c, txn_finish(&t), on_written, w)->drop = work_free;
+}
+
+void pair_request(struct core *c, const struct core_request *r)
+{
+	pair_begin(c, r->conn, (const uint8_t *)r->body, r->len);
+}
+
+/* --- the leader --- */
+
+void pair_take_switches(struct core *c, const uint8_t *data, size_t len)
+{
+	Peer__Switches *in = peer__switches__unpack(NULL, len, data);
+
+	if (!in)
+		return;
+	for (size_t i = 0; i < in->n_switches && in->token == c->el.token; i++) {
+		Peer__Slot *s = in->switches[i]->slot;
+		struct machine *m = s ? machine_find(c, s->machine) : NULL;
+		struct job *to = job_find(c, in->switches[i]->to);
+		struct binding *b;
+
+		if (!m || !to || !job_waiting(to))
+			continue;
+		DL_FOREACH2 (m->bindings, b, mnext) {
+			if (b->task != s->task || strcmp(b->job->spec.id, s->job) ||
+			    *b->switched_to)
+				continue;
+			c->switches++;
+			snprintf(b->switched_to, sizeof(b->switched_to), "%s", to->spec.id);
+			log_info("switch", "job=%s machine=%s task=%u to=%s", s->job, m->id,
+				 s->task, to->spec.id);
+		}
+	}
+	peer__switches__free_unpacked(in, NULL);
+}
+
+static void on_part_answer(struct core *c, struct call *call, int status, const char *body,
+			   size_t len)
+{
+	size_t i = (size_t)(uintptr_t)call->arg;
+
+	if (election_stale(c, call))
+		return;
+	c->peer_live[i] = status == 200;
+	if (status == 200)
+		pair_take_switches(c, (const uint8_t *)body, len);
+}
+
+/* Rendezvous: of the live controllers, the one whose hash with the machine is highest. */
+static size_t owner_of(const struct core *c, const char *machine)
+{
+	size_t best = c->conf->npeers;
+	XXH64_hash_t top = XXH3_64bits_withSeed(machine, strlen(machine),
+						XXH3_64bits(c->conf->name, strlen(c->conf->name)));
+
+	for (size_t i = 0; i < c->conf->npeers; i++) {
+		const char *name = c->conf->peers[i].name;
+		XXH64_hash_t h =
+		    XXH3_64bits_withSeed(machine, strlen(machine), XXH3_64bits(name, strlen(name)));
+
+		if (c->peer_live[i] && h > top) {
+			top = h;
+			best = i;
+		}
+	}
+	return best;
+}
+
+struct part_build {
+	Peer__Slot *slots, **slot_list;
+	Peer__Open *open, **open_list;
+	size_t nslots, nopen;
+};
+
+static void build_slots(struct core *c, size_t owner, struct part_build *p)
+{
+	struct machine *m, *tmp;
+	struct binding *b;
+	size_t cap = 0;
+
+	HASH_ITER (hh, c->machines, m, tmp)
+		cap += (size_t)m->nbindings;
+	p->slots = calloc(cap + 1, sizeof(*p->slots));
+	p->slot_list = calloc(cap + 1, sizeof(*p->slot_list));
+	if (!p->slots || !p->slot_list)
+		abort();
+	HASH_ITER (hh, c->machines, m, tmp) {
+		if (owner_of(c, m->id) != owner)
+			continue;
+		DL_FOREACH2 (m->bindings, b, mnext) {
+			Peer__Slot *s = &p->slots[p->nslots];
+
+			if (b->job->spec.kind != JOB_ARRAY || b->job->ghost || *b->switched_to)
+				continue;
+			peer__slot__init(s);
+			s->machine = m->id;
+			s->job = b->job->spec.id;
+			s->task = b->task;
+			p->slot_list[p->nslots++] = s;
+		}
+	}
+}
+
+static void build_open(struct core *c, struct part_build *p)
+{
+	struct job *j, *tmp;
+
+	p->open = calloc(HASH_COUNT(c->jobs) + 1, sizeof(*p->open));
+	p->open_list = calloc(HASH_COUNT(c->jobs) + 1, sizeof(*p->open_list));
+	if (!p->open || !p->open_list)
+		abort();
+	HASH_ITER (hh, c->jobs, j, tmp) {
+		/* A job whose team is at its limit, or with nothing waiting, is not drawn. */
+		if (j->spec.kind != JOB_ARRAY || !job_waiting(j) || !team_has_room(c, &j->spec, 1))
+			continue;
+		peer__open__init(&p->open[p->nopen]);
+		p->open[p->nopen].job = j->spec.id;
+		p->open_list[p->nopen] = &p->open[p->nopen];
+		p->nopen++;
+	}
+}
+
+static void send_part(struct core *c, size_t owner)
+{
+	struct part_build b = {0};
+	Peer__Part part = PEER__PART__INIT;
+	uint8_t *buf;
+	size_t n;
+
+	build_slots(c, owner, &b);
+	build_open(c, &b);
+	part.token = c->el.token;
+	part.slots = b.slot_list;
+	part.n_slots = b.nslots;
+	part.open = b.open_list;
+	part.n_open = b.nopen;
+	n = peer__part__get_packed_size(&part);
+	buf = calloc(1, n + 1);
+	if (!buf)
+		abort();
+	peer__part__pack(&part, buf);
+	if (owner == c->conf->npeers) {
+		pair_begin(c, 0, buf, n);
+		free(buf);
+	} else {
+		core_call(c, c->conf->peers[owner].addr, "POST", fmt_path(PAIR_PATH), (char *)buf,
+			  CALL_PEER_S, on_part_answer, (void *)(uintptr_t)owner);
+		c->actions->prev->len = n;
+	}
+	free(b.slots);
+	free(b.slot_list);
+	free(b.open);
+	free(b.open_list);
+}
+
+/* Nothing is paired after a take-over until workers have had the time to report. */
+void pair_tick(struct core *c)
+{
+	if (c->now < c->next_pair || c->now - c->lead_since < RENT_SETTLE_S || c->state_down)
+		return;
+	c->next_pair = c->now + PAIR_QUANTUM_S * (1 + PAIR_JITTER * (core_random(c) - 0.5));
+	for (size_t i = 0; i <= c->conf->npeers; i++)
+		send_part(c, i);
+}
--- a/src/core/place.c
+++ b/src/core/place.c
@@ -209,6 +209,37 @@
 	return strcmp(x->spec.id, y->spec.id);
 }
 
+/* One task on each machine whose freed slot is kept for, or was switched to, an array. */
+static void serve_turns(struct core *c)
+{
+	struct machine *m, *tmp;
+
+	HASH_ITER (hh, c->machines, m, tmp) {
+		struct job *j = *m->turn ? job_find(c, m->turn) : NULL;
+		const char *zone, *full;
+
+		m->turn[0] = 0;
+		if (!j || c->now > m->turn_until || !job_waiting(j) || c->now < j->not_before ||
+		    !room_for(m, &j->spec) || !machine_usable(c, m) || job_bad_on(j, m) ||
+		    !machine_allowed(m->type, m->zone, m->spot, &j->spec) ||
+		    !team_has_room(c, &j->spec, 1))
+			continue;
+		zone = held_zone(j);
+		full = full_zone(j);
+		if ((zone && strcmp(zone, m->zone)) || (full && !strcmp(full, m->zone)))
+			continue;
+		place(c, j, m, job_next_waiting(j), new_attempt(c));
+	}
+}
+
+/* Arrays that hold nothing: the leader grants one slot to each. */
+static void serve_grants(struct core *c, struct job **jobs, size_t n)
+{
+	for (size_t i = 0; i < n; i++)
+		if (!jobs[i]->nbound)
+			place_task(c, jobs[i]);
+}
+
 /* Arrays of one priority: whoever holds least is served first, one task at a time. */
 static void serve_arrays(struct core *c, struct job **jobs, size_t n)
 {
@@ -265,6 +296,9 @@
 		else if (!(jobs[i]->spec.kind == JOB_GANG ? place_gang : place_service)(c, jobs[i]))
 			preempt_for(c, jobs[i]);
 	}
+	serve_grants(c, arrays, narrays);
+	if (narrays)
+		serve_turns(c);
 	serve_arrays(c, arrays, narrays);
 	free(arrays);
 }
--- a/src/core/state.h
+++ b/src/core/state.h
@@ -55,6 +55,7 @@
 	bool loaded; /* made by an earlier leader */
 	bool seen;   /* listed by its worker under this leader */
 	bool stopping;
+	char switched_to[ID_MAX]; /* the array that its slot serves next; empty: none */
 	enum task_state state;
 	struct binding *mprev, *mnext; /* on its machine */
 	struct binding *jprev, *jnext; /* of its job */
@@ -115,6 +116,8 @@
 	int nimages;
 	char failed_jobs[MACHINE_FAULT_JOBS][ID_MAX];
 	int nfailed_jobs;
+	char turn[ID_MAX]; /* the array whose turn it is on the slot that fell free */
+	double turn_until;
 	double no_place_until;
 	UT_hash_handle hh;
 };
@@ -286,6 +289,9 @@
 	double jobs_watch_again;
 	bool round_due;
 	bool kicks;
+	bool *peer_live; /* by its last answer */
+	double next_pair;
+	uint64_t switches; /* made since this process began */
 	double next_round, round_again, next_machines;
 	double lead_since;
 
@@ -399,6 +405,13 @@
 void round_wanted(struct core *c);
 void round_tick(struct core *c);
 
+/* pair.c */
+#define PAIR_PATH "/pair"
+double pair_rho(double m_a, double m_b);
+void pair_request(struct core *c, const struct core_request *r);
+void pair_take_switches(struct core *c, const uint8_t *data, size_t len);
+void pair_tick(struct core *c);
+
 /* preempt.c */
 bool preempt_for(struct core *c, struct job *j);
 
--- a/tests/runner.c
+++ b/tests/runner.c
@@ -254,6 +254,8 @@
 
 	if (m->to < HOST_STATE)
 		return; /* controllers' back side: below */
+	if (m->to >= HOST_WORKERS && w->si.machines[m->to - HOST_WORKERS].power != SI_UP)
+		return; /* no power: silent */
 	h = calloc(1, sizeof(*h));
 	if (!h)
 		abort();
@@ -825,6 +827,11 @@
 			     (!strcmp(arg, "any") || !strcmp(w->si.machines[i].type->name, arg));
 		return n;
 	}
+	if (!strcmp(what, "switches")) {
+		for (int i = 0; i < w->nnodes; i++)
+			n += w->nodes[i].up ? w->nodes[i].core->switches : 0;
+		return n;
+	}
 	if (!strcmp(what, "running")) {
 		for (int i = 0; i < w->si.nmachines; i++)
 			for (struct si_task *t = w->si.machines[i].tasks; t; t = t->next)
--- a/tests/unit.c
+++ b/tests/unit.c
@@ -250,6 +250,14 @@
 	check(bits_decode("____", back, 8) != 0, "bits", "too many");
 }
 
+/* The thesis's formula: nothing towards the larger, certain where the gap is wide. */
+static void test_rho(void)
+{
+	check(pair_rho(3, 3) == 0 && pair_rho(4, 3) == 0 && pair_rho(0, 5) == 0, "rho", "none");
+	check(pair_rho(1, 5) == 1, "rho", "capped at one");
+	check(pair_rho(3, 4) > 0.2916 && pair_rho(3, 4) < 0.2917, "rho", "(16-9)/24");
+}
+
 int main(void)
 {
 	test_http_requests();
@@ -261,6 +269,7 @@
 	test_job_roundtrip();
 	test_reports();
 	test_bits();
+	test_rho();
 	printf("%d passed, %d failed\n", checks - failures, failures);
 	return failures != 0;
 }
