--- a/src/constants.h
+++ b/src/constants.h
@@ -124,6 +124,8 @@
 #define RENT_GIVE_UP_S 30.0	/* seconds a request without an answer is repeated */
 #define RENT_SPOT_S 5.0		/* seconds: a spot machine may be taken back */
 #define RENT_GPU_WASTE_S 100.0	/* seconds: GPUs are rented for those who use them */
+#define RENT_ESTIMATE_FACTOR 1.5 /* times the estimate: owners are often wrong by half */
+#define RENT_LEAD_S 60.0	/* seconds to rent, boot and fetch before a task can start */
 #define RENT_JITTER 0.02	/* share: equal offers are spread over zones */
 #define TOMB_S 60.0		/* seconds a deleted machine may still be listed */
 #define NOTICE_MARGIN_S 2.0	/* seconds beyond the save: the stop has to arrive */
--- a/src/core/rent.c
+++ b/src/core/rent.c
@@ -436,7 +436,8 @@
 	       (s->gpus <= 0 && t->gpus > 0 ? RENT_GPU_WASTE_S : 0);
 }
 
-static bool plan_rent(struct core *c, struct plan *p, const struct job_spec *s, uint32_t tasks)
+static bool plan_rent(struct core *c, struct plan *p, const struct job_spec *s, uint32_t tasks,
+		      bool only_spot)
 {
 	const struct machine_type *best = NULL;
 	double best_cost = INFINITY;
@@ -450,7 +451,7 @@
 			for (int k = 0; k < 2; k++) {
 				double cost;
 
-				if (!machine_allowed(t, t->zones[z], k, s) ||
+				if ((only_spot && !k) || !machine_allowed(t, t->zones[z], k, s) ||
 				    refused(c, t->name, t->zones[z], k))
 					continue;
 				cost = rent_cost(c, t, k, s, tasks) *
@@ -494,6 +495,18 @@
 	}
 }
 
+/*
+ * Where money counts, a job that can still meet its deadline waits for room that falls free, or for
+ * a cheap machine, before an ordinary one is rented for it.
+ */
+static bool can_wait(const struct core *c, const struct job *j)
+{
+	double left = j->submitted + j->spec.deadline_s - c->wall;
+
+	return rent_thrifty(c) && j->spec.spot && j->spec.deadline_s >= 0 &&
+	       left > RENT_ESTIMATE_FACTOR * j->spec.estimate_s + RENT_LEAD_S;
+}
+
 /* Waiting tasks that their team may run now; they fit on no live machine, or they would run. */
 static void plan_waiting(struct core *c, struct plan *p)
 {
@@ -510,7 +523,8 @@
 		for (k = 0; k < n && looked < RENT_TASKS_MAX; k++, looked++) {
 			if (!team_has_room(c, &j->spec, k + 1))
 				break;
-			if (!plan_fit(p, &j->spec, false) && !plan_rent(c, p, &j->spec, n - k))
+			if (!plan_fit(p, &j->spec, false) &&
+			    !plan_rent(c, p, &j->spec, n - k, can_wait(c, j)))
 				break;
 		}
 	}
@@ -561,7 +575,7 @@
 
 		for (uint32_t k = 0; k < want; k++)
 			if (!plan_fit(p, use[i].spec, true) &&
-			    !plan_rent(c, p, use[i].spec, want - k))
+			    !plan_rent(c, p, use[i].spec, want - k, false))
 				break;
 	}
 }
