--- a/src/constants.h
+++ b/src/constants.h
@@ -117,25 +117,25 @@
 #define PREEMPT_AGAIN_S 12.0 /* seconds before more is stopped for the same job */
 
 /* --- rentals --- */
-#define RENT_EVERY_S 0.5	/* seconds between looks at what is missing */
-#define RENT_AFTER_S 0.3	/* seconds a task waits before machines are rented for it */
-#define RENT_SETTLE_S 4.0	/* seconds after a take-over: workers have yet to report */
-#define RENT_REQUESTS 2		/* requests per look: the cloud's rate has other uses */
-#define RENT_GIVE_UP_S 30.0	/* seconds a request without an answer is repeated */
-#define RENT_SPOT_S 5.0		/* seconds: a spot machine may be taken back */
-#define RENT_GPU_WASTE_S 100.0	/* seconds: GPUs are rented for those who use them */
+#define RENT_EVERY_S 0.5	 /* seconds between looks at what is missing */
+#define RENT_AFTER_S 0.3	 /* seconds a task waits before machines are rented for it */
+#define RENT_SETTLE_S 4.0	 /* seconds after a take-over: workers have yet to report */
+#define RENT_REQUESTS 2		 /* requests per look: the cloud's rate has other uses */
+#define RENT_GIVE_UP_S 30.0	 /* seconds a request without an answer is repeated */
+#define RENT_SPOT_S 5.0		 /* seconds: a spot machine may be taken back */
+#define RENT_GPU_WASTE_S 100.0	 /* seconds: GPUs are rented for those who use them */
 #define RENT_ESTIMATE_FACTOR 1.5 /* times the estimate: owners are often wrong by half */
-#define RENT_LEAD_S 60.0	/* seconds to rent, boot and fetch before a task can start */
-#define RENT_JITTER 0.02	/* share: equal offers are spread over zones */
-#define TOMB_S 60.0		/* seconds a deleted machine may still be listed */
-#define NOTICE_MARGIN_S 2.0	/* seconds beyond the save: the stop has to arrive */
-#define RENT_REFUSED_S 10.0	/* seconds before a refused type, zone and kind is asked again */
-#define RENT_REFUSED_MAX_S 40.0 /* seconds: capacity may come back any time */
-#define RENT_BATCH_MAX 50	/* machines per request, from the protocol */
-#define RENT_TASKS_MAX 400	/* waiting tasks looked at per round */
-#define DELETE_BATCH_MAX 100	/* names per request, from the protocol */
-#define CLOUD_BACKOFF_S 1.5	/* seconds after 429, 503 or no answer */
-#define CATALOG_EVERY_S 60.0	/* seconds between reads of prices by the leader */
+#define RENT_LEAD_S 60.0	 /* seconds to rent, boot and fetch before a task can start */
+#define RENT_JITTER 0.02	 /* share: equal offers are spread over zones */
+#define TOMB_S 60.0		 /* seconds a deleted machine may still be listed */
+#define NOTICE_MARGIN_S 2.0	 /* seconds beyond the save: the stop has to arrive */
+#define RENT_REFUSED_S 10.0	 /* seconds before a refused type, zone and kind is asked again */
+#define RENT_REFUSED_MAX_S 40.0	 /* seconds: capacity may come back any time */
+#define RENT_BATCH_MAX 50	 /* machines per request, from the protocol */
+#define RENT_TASKS_MAX 400	 /* waiting tasks looked at per round */
+#define DELETE_BATCH_MAX 100	 /* names per request, from the protocol */
+#define CLOUD_BACKOFF_S 1.5	 /* seconds after 429, 503 or no answer */
+#define CATALOG_EVERY_S 60.0	 /* seconds between reads of prices by the leader */
 #define IDLE_THRIFTY_S                                                                             \
 	40.0 /* seconds idle before return where money counts: a boot costs as much */
 #define IDLE_LAVISH_S 3600.0  /* seconds where it does not */
