Remove what nothing reads: display hints never filled, unread fields, empty wrappers

Found on reading the whole change: hints for counts at followers were looked up but never set (they stay an open point in docs/questions.md), five fields were written and never read, a context struct and a memchr wrapper added nothing.

--- a/src/core/jobs.c
+++ b/src/core/jobs.c
@@ -170,7 +170,6 @@
 	b->task = task;
 	b->attempt = attempt;
 	b->floor_token = c->el.token;
-	b->placed_at = c->now;
 	DL_APPEND2(m->bindings, b, mprev, mnext);
 	DL_APPEND2(j->bindings, b, jprev, jnext);
 	m->nbindings++;
@@ -207,7 +206,7 @@
 	}
 }
 
-static void machine_blamed(struct core *c, struct machine *m, const struct job *j)
+static void machine_blamed(struct machine *m, const struct job *j)
 {
 	for (int i = 0; i < m->nfailed_jobs; i++)
 		if (!strcmp(m->failed_jobs[i], j->spec.id))
@@ -221,7 +220,6 @@
 		m->draining = true;
 		log_info("machine_faulty", "machine=%s jobs=%d", m->id, m->nfailed_jobs);
 	}
-	(void)c;
 }
 
 static void binding_account(struct core *c, struct binding *b, enum task_why why)
@@ -238,7 +236,7 @@
 			job_task_done(c, j, b->task);
 	} else if (why == WHY_ERROR) {
 		job_failed_on(c, j, b->machine);
-		machine_blamed(c, b->machine, j);
+		machine_blamed(b->machine, j);
 	} else if (why == WHY_NO_ROOM || why == WHY_BUSY || why == WHY_UNKNOWN) {
 		j->not_before = c->now + REFUSED_BACKOFF_S;
 		if (why != WHY_UNKNOWN)
--- a/src/core/pair.c
+++ b/src/core/pair.c
@@ -135,35 +135,30 @@
 	free(list);
 }
 
-struct sum_ctx {
-	struct pair_work *w;
-};
-
 static void sum_item(void *ctx, const struct kv_item *it)
 {
-	struct sum_ctx *x = ctx;
+	struct pair_work *w = ctx;
 	const char *job;
 	json_t *v;
 
 	/* Counts of an earlier leader's quantum say nothing about this one. */
-	if ((uint64_t)json_integer_value(json_object_get(it->value, "token")) != x->w->part->token)
+	if ((uint64_t)json_integer_value(json_object_get(it->value, "token")) != w->part->token)
 		return;
 	json_object_foreach (json_object_get(it->value, "counts"), job, v) {
 		if (strlen(job) < ID_MAX)
-			count_get(&x->w->counts, job)->slots += json_number_value(v);
+			count_get(&w->counts, job)->slots += json_number_value(v);
 	}
 }
 
 static void on_counts(struct core *c, struct call *call, int status, const char *body, size_t len)
 {
 	struct pair_work *w = call->arg;
-	struct sum_ctx x = {w};
 	json_t *o;
 
 	store_heard(c, status);
 	if (status == 200) {
 		o = wire_parse(body, len);
-		wire_items(o, sum_item, &x);
+		wire_items(o, sum_item, w);
 		json_decref(o);
 		pair_decide(c, w);
 	} else if (w->conn) {
--- a/src/core/place.c
+++ b/src/core/place.c
@@ -81,11 +81,9 @@
 
 static void place(struct core *c, struct job *j, struct machine *m, uint32_t task, uint64_t attempt)
 {
-	struct binding *b = binding_add(c, m, j, task, attempt);
-
+	binding_add(c, m, j, task, attempt);
 	log_info("place", "job=%s task=%u attempt=%llu machine=%s waited=%.2f", j->spec.id, task,
 		 (unsigned long long)attempt, m->id, c->wall - j->submitted);
-	(void)b;
 	commit_machine(c, m);
 }
 
--- a/src/core/state.h
+++ b/src/core/state.h
@@ -49,7 +49,6 @@
 	double sent_at;
 	double stop_at; /* when the newest stop was sent; 0: none */
 	double grace_s;
-	double placed_at;
 	double running_since; /* 0: not running */
 	bool committed, flying;
 	bool loaded; /* made by an earlier leader */
@@ -84,7 +83,6 @@
 	uint64_t session, seq, token;
 	double last_beat; /* steady; < 0: none this term */
 	double last_word; /* any message this term; < 0: none */
-	double first_word;
 	double asked_at;
 	double notice_s;
 	double notice_heard; /* when notice_s was said */
@@ -97,7 +95,6 @@
 	/* the cloud */
 	bool listed;
 	bool failed;
-	bool adopted;	     /* known by the list or its worker only, not rented by this leader */
 	uint64_t list_round; /* the newest list that named it */
 	int missing;	     /* lists in a row without it */
 	double rented_at;
@@ -196,12 +193,6 @@
 	UT_hash_handle hh;
 };
 
-struct hint {
-	char id[ID_MAX];
-	uint32_t done, running;
-	UT_hash_handle hh;
-};
-
 enum lead_role { ROLE_FOLLOW, ROLE_LOADING, ROLE_LEAD };
 
 struct election {
@@ -253,7 +244,6 @@
 	uint64_t next_call;
 
 	struct election el;
-	double state_ok; /* when an answer from the state service last came */
 	bool state_down; /* the last answer was a refusal or none */
 
 	struct machine_type *types;
@@ -269,7 +259,6 @@
 	int nreads;
 	double submit_again;
 	struct final *finals;
-	struct hint *hints;
 
 	/* leader */
 	struct job *jobs;
--- a/src/core/store.c
+++ b/src/core/store.c
@@ -7,11 +7,7 @@
 /* Notes whether the state service serves us; a 503 may concern this controller alone. */
 void store_heard(struct core *c, int status)
 {
-	bool ok = status > 0 && status != 503;
-
-	c->state_down = !ok;
-	if (ok)
-		c->state_ok = c->now;
+	c->state_down = status <= 0 || status == 503;
 }
 
 struct call *store_get(struct core *c, const char *key, call_fn fn, void *arg)
--- a/src/core/users.c
+++ b/src/core/users.c
@@ -111,7 +111,6 @@
 static void answer_open(struct core *c, struct user_req *u, const struct kv_item *it)
 {
 	uint32_t done = 0, running = 0;
-	struct hint *h;
 	struct job *j;
 
 	if (json_is_true(json_object_get(it->value, "cancelled"))) {
@@ -126,13 +125,9 @@
 		return;
 	}
 	j = c->el.role == ROLE_LEAD ? job_find(c, u->id) : NULL;
-	HASH_FIND_STR(c->hints, u->id, h);
 	if (j) {
 		done = j->ndone;
 		running = j->nrunning;
-	} else if (h) {
-		done = h->done;
-		running = h->running;
 	}
 	user_state(c, u, 200, running ? JS_RUNNING : JS_QUEUED, done, running);
 }
@@ -471,7 +466,6 @@
 {
 	struct user_req *u, *tmp;
 	struct final *f, *ftmp;
-	struct hint *h, *htmp;
 
 	DL_FOREACH_SAFE (c->submits, u, tmp)
 		user_free(u);
@@ -481,8 +475,4 @@
 		HASH_DEL(c->finals, f);
 		free(f);
 	}
-	HASH_ITER (hh, c->hints, h, htmp) {
-		HASH_DEL(c->hints, h);
-		free(h);
-	}
 }
--- a/src/core/workers.c
+++ b/src/core/workers.c
@@ -149,7 +149,6 @@
 	if (beat)
 		m->last_beat = c->now;
 	if (first) {
-		m->first_word = c->now;
 		m->idle_since = c->now;
 		log_info("machine_up", "machine=%s type=%s zone=%s spot=%d after=%.1f", m->id,
 			 m->type_name, m->zone, m->spot, c->now - m->rented_at);
--- a/src/net/http.c
+++ b/src/net/http.c
@@ -6,13 +6,6 @@
 
 #include "constants.h"
 
-static const char *find_line_end(const char *p, const char *end)
-{
-	const char *nl = memchr(p, '\n', (size_t)(end - p));
-
-	return nl;
-}
-
 static int parse_request_line(struct http_msg *m, const char *p, const char *end)
 {
 	const char *sp = memchr(p, ' ', (size_t)(end - p));
@@ -115,7 +108,7 @@
 
 	memset(m, 0, sizeof(*m));
 	for (;;) {
-		nl = find_line_end(p, end);
+		nl = memchr(p, '\n', (size_t)(end - p));
 		if (!nl)
 			return len > HTTP_HEAD_MAX ? HTTP_BAD : HTTP_MORE;
 		if ((size_t)(nl - data) > HTTP_HEAD_MAX)
--- a/tests/runner.c
+++ b/tests/runner.c
@@ -23,7 +23,7 @@
 /* hosts: controllers 0.., then these */
 enum { HOST_STATE = 100, HOST_CLOUD, HOST_USERS, HOST_WORKERS = 1000 };
 
-enum msg_kind { MSG_REQUEST, MSG_REPLY, MSG_TIMEOUT, MSG_REPORT, MSG_REPORT_REPLY, MSG_LINE };
+enum msg_kind { MSG_REQUEST, MSG_REPLY, MSG_TIMEOUT, MSG_REPORT, MSG_REPORT_REPLY };
 
 struct msg {
 	double at;
@@ -341,8 +341,6 @@
 					 x->report_seq, m->status, m->body);
 		break;
 	}
-	case MSG_LINE:
-		break;
 	}
 	if (n && n->up)
 		drain(w, m->to);
--- a/tests/standin.h
+++ b/tests/standin.h
@@ -116,7 +116,7 @@
 struct si_machine {
 	char id[ID_MAX], addr[NAME_MAX_LEN], zone[NAME_MAX_LEN];
 	const struct machine_type *type;
-	bool spot, faulty, hanging, cached_any;
+	bool spot, faulty, hanging;
 	enum si_power power;
 	double rented_at, up_at, off_at, notice_until;
 	uint64_t session, seq, token, reported_token;
