--- a/src/constants.h
+++ b/src/constants.h
@@ -69,11 +69,15 @@
 #define COMMIT_BYTES 48000  /* bytes of one transaction: 64 KiB is the limit, keys included */
 #define COMMIT_RETRY_S 0.25 /* seconds before a refused transaction is sent again */
 #define WRITE_SHARE_LEADER                                                                         \
-	0.85		       /* share of write_rps the leader uses: the rest takes submissions   \
-				*/
-#define DONE_CHUNK_TASKS 16384 /* tasks whose done bits share one key: 2.7 KB as base64 */
-#define MACHINE_TASKS_MAX 140  /* bindings on a machine: one value of 8 KiB holds them */
-#define ATTEMPT_SHIFT 20       /* bits: a million starts under one token */
+	0.85		      /* share of write_rps the leader uses: the rest takes submissions    \
+			       */
+#define CHUNK_TASKS 128	      /* tasks whose bindings and done bits share one key, below 8 KiB */
+#define CHUNK_ENTRY_BYTES 56  /* bytes of one binding in it beside the machine's name */
+#define CHUNK_SPARE_BYTES 400 /* bytes of a value beside its bindings: the done bits, braces */
+#define FINAL_WAIT_S 1.0      /* seconds for the other tasks of a done job to be heard of */
+#define JOBS_EVERY_S 0.25     /* seconds between looks for them */
+#define END_DELAY_S 0.8	      /* seconds an end waits for company: proof and forget wait with it */
+#define ATTEMPT_SHIFT 20      /* bits: a million starts under one token */
 
 /* --- load --- */
 #define RANGE_LIMIT 500	   /* items per page: pages stay below 512 KiB */
@@ -114,7 +118,20 @@
 #define GPU_WASTE_S 3.0	     /* seconds: what taking room beside unused GPUs is worth in waiting */
 #define FIT_WEIGHT_S 0.5     /* seconds: the best fit matters less than a held image */
 #define PREEMPT_AFTER_S 0.2  /* seconds of waiting before lower work is stopped */
-#define PREEMPT_AGAIN_S 12.0 /* seconds before more is stopped for the same job */
+#define PREEMPT_HOLD_S 20.0  /* seconds room is held for a gang that work was stopped for */
+#define PLAN_AGAIN_S 2.0     /* seconds between looks for room to be made for one gang */
+#define RESERVE_AFTER_S 60.0 /* seconds a gang waits before room is held for it: it has to begin   \
+			      */
+/* within four minutes, and what runs ends in one or two */
+#define RESERVE_HOLD_S 120.0 /* seconds room is held before the choice is made anew */
+#define RESERVE_MOST 6	     /* gangs with room held at once: held room is idle room */
+#define RESERVE_LEAST_S 5.0  /* seconds left at least of a task that outran its estimate */
+#define BACKFILL_FACTOR 1.5  /* times the estimate: owners are often wrong by half */
+#define BACKFILL_EXTRA_S 5.0 /* seconds to start and fetch */
+#define ORDINARY_S 4.0	     /* seconds: an ordinary machine's worth to those who need one */
+#define ROOM_SLACK 1e-6	     /* CPUs, GPUs, GB: sums of decimal amounts */
+#define ROUND_POOLS_MAX 256  /* kinds of machines told apart: types times zones times two */
+#define ROUND_NO_MAX 32	     /* shapes without room remembered in a round */
 
 /* --- rentals --- */
 #define RENT_EVERY_S 0.5	 /* seconds between looks at what is missing */
--- a/src/core/core.c
+++ b/src/core/core.c
@@ -149,6 +149,7 @@
 		return;
 	load_tick(c);
 	machine_tick(c);
+	job_tick(c);
 	round_tick(c);
 	rent_tick(c);
 	pair_tick(c);
--- a/src/core/jobs.c
+++ b/src/core/jobs.c
@@ -2,6 +2,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "core/round.h"
 #include "core/state.h"
 #include "util/log.h"
 
@@ -20,7 +21,7 @@
 
 uint32_t job_chunks(const struct job *j)
 {
-	return (j->spec.ntasks + DONE_CHUNK_TASKS - 1) / DONE_CHUNK_TASKS;
+	return (j->spec.ntasks + CHUNK_TASKS - 1) / CHUNK_TASKS;
 }
 
 struct job *job_find(struct core *c, const char *id)
@@ -35,18 +36,14 @@
 {
 	struct job *j = calloc(1, sizeof(*j));
 	size_t bytes = (spec->ntasks + 7) / 8 + 1;
-	uint32_t chunks;
 
 	if (!j)
 		abort();
 	j->spec = *spec;
-	chunks = job_chunks(j);
 	j->done = calloc(1, bytes);
 	j->bound = calloc(1, bytes);
-	j->done_version = calloc(chunks, sizeof(*j->done_version));
-	j->done_dirty = calloc(chunks, 1);
-	j->done_flying = calloc(chunks, 1);
-	if (!j->done || !j->bound || !j->done_version || !j->done_dirty || !j->done_flying)
+	j->chunks = calloc(job_chunks(j), sizeof(*j->chunks));
+	if (!j->done || !j->bound || !j->chunks)
 		abort();
 	j->waiting_since = c->now;
 	HASH_ADD_STR(c->jobs, spec.id, j);
@@ -55,15 +52,32 @@
 
 void job_free(struct core *c, struct job *j)
 {
+	plan_release(c, j);
 	HASH_DEL(c->jobs, j);
 	free(j->done);
 	free(j->bound);
-	free(j->done_version);
-	free(j->done_dirty);
-	free(j->done_flying);
+	free(j->chunks);
 	free(j);
 }
 
+void job_release(struct core *c, struct job *j)
+{
+	if (!j->ghost || j->bindings)
+		return;
+	for (uint32_t k = 0; k < job_chunks(j); k++)
+		if (j->chunks[k].queued || j->chunks[k].flying)
+			return;
+	job_free(c, j);
+}
+
+/* Its record would grow beyond what one value may hold. */
+bool job_chunk_full(const struct core *c, const struct job *j, uint32_t task)
+{
+	return j->chunks[task / CHUNK_TASKS].bytes + CHUNK_SPARE_BYTES + CHUNK_ENTRY_BYTES +
+		   ID_MAX >
+	       c->conf->value_kb * 1024;
+}
+
 uint32_t job_waiting(const struct job *j)
 {
 	uint32_t busy = j->ndone + j->nbound;
@@ -94,7 +108,7 @@
 	log_debug("task_done", "job=%s task=%u done=%u of=%u", j->spec.id, task, j->ndone,
 		  j->spec.ntasks);
 	if (j->ndone < j->spec.ntasks)
-		commit_done(c, j, task / DONE_CHUNK_TASKS);
+		commit_chunk(c, j, task, END_DELAY_S);
 }
 
 /* Looks whether the job is over; call after anything that ends a task or a binding. */
@@ -104,10 +118,32 @@
 		j->gang_stopping = false;
 	if (j->final_queued || j->ghost)
 		return;
-	if (j->cancelled ? !j->bindings : j->ndone == j->spec.ntasks)
+	if (j->cancelled) {
+		if (!j->bindings)
+			commit_final(c, j);
+		return;
+	}
+	if (j->ndone < j->spec.ntasks)
+		return;
+	/* The last tasks of a gang are heard of within moments: one transaction for all. */
+	if (j->done_at <= 0)
+		j->done_at = c->now;
+	if (!j->bindings || c->now - j->done_at >= FINAL_WAIT_S)
 		commit_final(c, j);
 }
 
+void job_tick(struct core *c)
+{
+	struct job *j, *tmp;
+
+	if (c->now < c->next_jobs)
+		return;
+	c->next_jobs = c->now + JOBS_EVERY_S;
+	HASH_ITER (hh, c->jobs, j, tmp)
+		if (j->done_at > 0 && !j->final_queued)
+			job_settle(c, j);
+}
+
 void job_cancel(struct core *c, struct job *j)
 {
 	struct binding *b, *tmp;
@@ -158,6 +194,15 @@
 		j->next_task = b->task;
 }
 
+static void chunk_count(const struct binding *b, int sign)
+{
+	struct chunk *k = &b->job->chunks[b->task / CHUNK_TASKS];
+	int bytes = CHUNK_ENTRY_BYTES + (int)strlen(b->machine->id);
+
+	k->nbound += (uint32_t)sign;
+	k->bytes += (uint32_t)(sign * bytes);
+}
+
 struct binding *binding_add(struct core *c, struct machine *m, struct job *j, uint32_t task,
 			    uint64_t attempt)
 {
@@ -177,6 +222,8 @@
 	m->gpus -= j->spec.gpus;
 	m->mem_gb -= j->spec.mem_gb;
 	binding_bit(b, true);
+	chunk_count(b, 1);
+	j->uncommitted++;
 	team_charge(c, &j->spec, 1);
 	return b;
 }
@@ -253,6 +300,8 @@
 	if (b->running_since > 0)
 		j->nrunning--;
 	binding_bit(b, false);
+	chunk_count(b, -1);
+	j->uncommitted -= !b->committed;
 	team_charge(c, &j->spec, -1);
 	DL_DELETE2(m->bindings, b, mprev, mnext);
 	DL_DELETE2(j->bindings, b, jprev, jnext);
@@ -268,8 +317,8 @@
 			 *b->switched_to ? b->switched_to : j->spec.id);
 		m->turn_until = c->now + TURN_S;
 	}
+	commit_chunk(c, j, b->task, END_DELAY_S);
 	free(b);
-	commit_machine(c, m);
 }
 
 /* The end of a binding, proved. The record follows in the next transaction. */
@@ -286,8 +335,7 @@
 		gang_lost(c, j, why);
 	j->waiting_since = c->now;
 	job_settle(c, j);
-	if (j->ghost && !j->bindings)
-		job_free(c, j);
+	job_release(c, j);
 	round_wanted(c);
 }
 
--- a/src/core/load.c
+++ b/src/core/load.c
@@ -7,7 +7,7 @@
 #include "core/state.h"
 #include "util/log.h"
 
-static const char *const prefixes[] = {"j/", "d/", "m/"};
+static const char *const prefixes[] = {JOBS_OPEN, JOBS_BOUND};
 #define NPREFIXES (sizeof(prefixes) / sizeof(prefixes[0]))
 
 struct load {
@@ -44,31 +44,10 @@
 	round_wanted(c);
 }
 
-static void load_done(struct core *c, const char *rest, json_t *value, uint64_t version)
-{
-	const char *slash = strchr(rest, '/');
-	const char *bits = json_string_value(json_object_get(value, "bits"));
-	char id[ID_MAX];
-	struct job *j;
-	uint32_t chunk, first, n;
-
-	if (!slash || (size_t)(slash - rest) >= sizeof(id) || !bits)
-		return;
-	memcpy(id, rest, (size_t)(slash - rest));
-	id[slash - rest] = 0;
-	chunk = (uint32_t)strtoul(slash + 1, NULL, 10);
-	j = job_find(c, id);
-	if (!j || chunk >= job_chunks(j))
-		return;
-	first = chunk * DONE_CHUNK_TASKS;
-	n = j->spec.ntasks - first;
-	bits_decode(bits, j->done + first / 8, n < DONE_CHUNK_TASKS ? n : DONE_CHUNK_TASKS);
-	j->done_version[chunk] = version;
-}
-
+/* A job whose final record is written, with tasks that may still be somewhere. */
 static struct job *ghost(struct core *c, const char *id)
 {
-	struct job_spec spec = {.ntasks = 1, .deadline_s = -1};
+	struct job_spec spec = {.ntasks = JOB_TASKS_MAX, .deadline_s = -1};
 	struct job *j;
 
 	snprintf(spec.id, sizeof(spec.id), "%s", id);
@@ -77,45 +56,64 @@
 	return j;
 }
 
-static void load_binding(struct core *c, struct machine *m, json_t *e)
+static void load_binding(struct core *c, struct job *j, json_t *group, size_t at)
 {
-	const char *id = json_string_value(json_array_get(e, 0));
+	const char *zone = json_string_value(json_array_get(group, 1));
+	const char *id = json_string_value(json_array_get(group, at + 1));
+	uint64_t attempt = (uint64_t)json_integer_value(json_array_get(group, 0));
+	uint32_t task = (uint32_t)json_integer_value(json_array_get(group, at));
+	struct machine *m;
 	struct binding *b;
-	struct job *j;
 
-	if (!id || strlen(id) >= ID_MAX)
+	if (!id || strlen(id) >= ID_MAX || task >= j->spec.ntasks)
 		return;
-	j = job_find(c, id);
-	if (!j)
-		j = ghost(c, id);
-	b = binding_add(c, m, j, (uint32_t)json_integer_value(json_array_get(e, 1)),
-			(uint64_t)json_integer_value(json_array_get(e, 2)));
+	m = machine_get(c, id);
+	if (zone && !*m->zone)
+		snprintf(m->zone, sizeof(m->zone), "%s", zone);
+	b = binding_add(c, m, j, task, attempt);
 	b->loaded = b->committed = true;
-	if (b->attempt > j->attempt)
-		j->attempt = b->attempt;
+	j->uncommitted--;
+	if (attempt > j->attempt)
+		j->attempt = attempt;
 }
 
-static const char *text_of(json_t *o, const char *key)
+static void load_bits(struct job *j, uint32_t chunk, const char *bits)
 {
-	const char *s = json_string_value(json_object_get(o, key));
+	uint32_t first = chunk * CHUNK_TASKS, n = j->spec.ntasks - first;
 
-	return s ? s : "";
+	bits_decode(bits, j->done + first / 8, n < CHUNK_TASKS ? n : CHUNK_TASKS);
 }
 
-static void load_machine(struct core *c, const char *id, json_t *value, uint64_t version)
+static void load_chunk(struct core *c, const char *rest, json_t *value, uint64_t version)
 {
-	struct machine *m;
-	json_t *e;
+	const char *slash = strchr(rest, '/');
+	const char *bits = json_string_value(json_object_get(value, "done"));
+	json_t *groups = json_object_get(value, "bound"), *g;
+	char id[ID_MAX];
+	struct job *j;
+	uint32_t chunk;
 	size_t i;
 
-	if (strlen(id) >= ID_MAX)
+	if (!slash || (size_t)(slash - rest) >= sizeof(id))
 		return;
-	m = machine_get(c, id);
-	m->version = version;
-	machine_describe(c, m, text_of(value, "addr"), text_of(value, "type"),
-			 text_of(value, "zone"), json_is_true(json_object_get(value, "spot")));
-	json_array_foreach (json_object_get(value, "bound"), i, e)
-		load_binding(c, m, e);
+	memcpy(id, rest, (size_t)(slash - rest));
+	id[slash - rest] = 0;
+	chunk = (uint32_t)strtoul(slash + 1, NULL, 10);
+	j = job_find(c, id);
+	if (!j && !json_array_size(groups)) {
+		commit_drop(c, id, chunk, version); /* left over from a job that is done */
+		return;
+	}
+	if (!j)
+		j = ghost(c, id);
+	if (chunk >= job_chunks(j))
+		return;
+	j->chunks[chunk].version = version;
+	if (bits)
+		load_bits(j, chunk, bits);
+	json_array_foreach (groups, i, g)
+		for (size_t k = 2; k + 1 < json_array_size(g); k += 2)
+			load_binding(c, j, g, k);
 }
 
 struct load_ctx {
@@ -126,15 +124,12 @@
 static void load_item(void *ctx, const struct kv_item *it)
 {
 	struct load_ctx *x = ctx;
-	const char *rest = it->key + 2;
 
 	snprintf(x->l->last, sizeof(x->l->last), "%s", it->key);
-	if (it->key[0] == 'j')
-		load_job_record(x->c, rest, it->value, it->version);
-	else if (it->key[0] == 'd')
-		load_done(x->c, rest, it->value, it->version);
+	if (x->l->at == 0)
+		load_job_record(x->c, it->key + strlen(JOBS_OPEN), it->value, it->version);
 	else
-		load_machine(x->c, rest, it->value, it->version);
+		load_chunk(x->c, it->key + strlen(JOBS_BOUND), it->value, it->version);
 }
 
 static void load_finish(struct core *c)
@@ -227,12 +222,14 @@
 	struct core *c = ctx;
 	struct job *j;
 
-	if (strncmp(it->key, "j/", 2) || !it->value)
+	size_t n = strlen(JOBS_OPEN);
+
+	if (strncmp(it->key, JOBS_OPEN, n) || !it->value)
 		return;
-	j = job_find(c, it->key + 2);
+	j = job_find(c, it->key + n);
 	if (j && (j->ghost || it->version <= j->version))
 		return;
-	load_job_record(c, it->key + 2, it->value, it->version);
+	load_job_record(c, it->key + n, it->value, it->version);
 }
 
 static void on_watch(struct core *c, struct call *call, int status, const char *body, size_t len)
@@ -262,7 +259,7 @@
 	if (c->jobs_watching || c->now < c->jobs_watch_again)
 		return;
 	c->jobs_watching = true;
-	store_watch(c, "j/", c->jobs_revision, JOBS_WATCH_MS, on_watch, NULL);
+	store_watch(c, JOBS_OPEN, c->jobs_revision, JOBS_WATCH_MS, on_watch, NULL);
 }
 
 /* All that only a leader knows; what the next one needs is in the records. */
--- a/src/core/machines.c
+++ b/src/core/machines.c
@@ -84,8 +84,7 @@
 bool machine_usable(const struct core *c, const struct machine *m)
 {
 	return m->type && m->session && !m->draining && !m->deleting && !m->failed &&
-	       m->notice_s < 0 && m->nbindings < MACHINE_TASKS_MAX && machine_fresh(c, m) &&
-	       c->now >= m->no_place_until;
+	       m->notice_s < 0 && machine_fresh(c, m) && c->now >= m->no_place_until;
 }
 
 bool machine_allowed(const struct machine_type *t, const char *zone, bool spot,
@@ -130,7 +129,6 @@
 	m->gone = m->deleting = true;
 	while (m->bindings)
 		binding_end(c, m->bindings, WHY_NONE);
-	commit_machine(c, m);
 }
 
 static bool boot_overdue(const struct core *c, const struct machine *m)
@@ -197,7 +195,7 @@
 	}
 	HASH_ITER (hh, c->machines, m, tmp) {
 		machine_look(c, m);
-		if (m->gone && !m->bindings && !m->dirty && !m->flying) {
+		if (m->gone && !m->bindings) {
 			HASH_DEL(c->machines, m);
 			free(m->left);
 			free(m);
--- a/src/core/place.c
+++ b/src/core/place.c
@@ -7,6 +7,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "core/round.h"
 #include "core/state.h"
 #include "util/log.h"
 
@@ -26,22 +27,13 @@
 	return false;
 }
 
-static bool room_for(const struct machine *m, const struct job_spec *s)
-{
-	return m->cpus + 1e-6 >= s->cpus && m->gpus + 1e-6 >= s->gpus &&
-	       m->mem_gb + 1e-6 >= s->mem_gb;
-}
-
-/* Seconds that placing here costs, as far as can be told: fetching, and room taken from others. */
-static double place_cost(const struct machine *m, const struct job *j)
+double place_cost(const struct machine *m, const struct job *j)
 {
 	const struct job_spec *s = &j->spec;
 	double cost = 0;
 
 	if (!machine_has_image(m, s->image) && m->type->fetch_gb_per_s > 0)
 		cost += s->image_gb / m->type->fetch_gb_per_s;
-	if (s->gpus <= 0 && m->type->gpus > 0)
-		cost += GPU_WASTE_S;
 	if (m->type->cpus > 0)
 		cost += FIT_WEIGHT_S * (m->cpus - s->cpus) / m->type->cpus;
 	if (!m->nbindings)
@@ -51,50 +43,63 @@
 	return cost;
 }
 
-static struct machine *best_machine(struct core *c, struct job *j, const char *zone,
-				    const char *not_zone)
+/* --- room --- */
+
+/* Room held for a gang is nobody else's, but for work that ends before the gang can use it. */
+static bool hold_yields(const struct core *c, const struct job *holder, const struct job *j)
 {
-	struct machine *m, *tmp, *best = NULL;
-	double best_cost = INFINITY;
+	double run = j->spec.estimate_s * BACKFILL_FACTOR + BACKFILL_EXTRA_S;
 
-	HASH_ITER (hh, c->machines, m, tmp) {
-		double cost;
+	return holder == j || c->now + run < holder->hold_ready;
+}
 
-		if (!room_for(m, &j->spec) || !machine_usable(c, m) ||
-		    !machine_allowed(m->type, m->zone, m->spot, &j->spec))
-			continue;
-		if ((zone && strcmp(zone, m->zone)) || (not_zone && !strcmp(not_zone, m->zone)))
-			continue;
-		cost = place_cost(m, j);
-		if (cost < best_cost) {
-			best_cost = cost;
-			best = m;
-		}
-	}
-	return best;
+static uint32_t slots_for(const struct core *c, const struct spot_room *x, const struct job *j)
+{
+	const struct job *h = x->m->hold_job;
+	const struct job_spec *s = &j->spec;
+	double n = x->m->hold_tasks;
+
+	if (x->cpus + ROOM_SLACK < s->cpus || x->gpus + ROOM_SLACK < s->gpus ||
+	    x->mem_gb + ROOM_SLACK < s->mem_gb)
+		return 0;
+	if (!h || hold_yields(c, h, j))
+		return room_slots(x->cpus, x->gpus, x->mem_gb, s);
+	return room_slots(x->cpus - n * h->spec.cpus, x->gpus - n * h->spec.gpus,
+			  x->mem_gb - n * h->spec.mem_gb, s);
 }
 
-static uint64_t new_attempt(struct core *c)
+static bool same_shape(const struct job_spec *a, const struct job_spec *b)
 {
-	return (c->el.token << ATTEMPT_SHIFT) + ++c->attempts;
+	if (a->cpus != b->cpus || a->gpus != b->gpus || a->mem_gb != b->mem_gb ||
+	    a->spot != b->spot || a->one_zone != b->one_zone || a->spread != b->spread ||
+	    a->ntypes != b->ntypes || strcmp(a->zone, b->zone))
+		return false;
+	for (int i = 0; i < a->ntypes; i++)
+		if (strcmp(a->types[i], b->types[i]))
+			return false;
+	return true;
 }
 
-static void place(struct core *c, struct job *j, struct machine *m, uint32_t task, uint64_t attempt)
+/* A job with room held, or with tasks somewhere, sees other room than its shape alone tells. */
+static bool shape_known(const struct job *j)
 {
-	binding_add(c, m, j, task, attempt);
-	log_info("place", "job=%s task=%u attempt=%llu machine=%s waited=%.2f", j->spec.id, task,
-		 (unsigned long long)attempt, m->id, c->wall - j->submitted);
-	commit_machine(c, m);
+	return !j->hold_until && !j->bindings;
 }
 
-/* Undoes a placement of which nothing has left this process. */
-static void unplace(struct core *c, struct job *j, uint64_t attempt)
+static bool no_room_for(const struct round *r, const struct job *j, uint32_t tasks)
 {
-	struct binding *b, *tmp;
+	for (size_t i = 0; i < r->nno; i++)
+		if (tasks >= r->no[i].tasks && same_shape(r->no[i].spec, &j->spec))
+			return shape_known(j);
+	return false;
+}
 
-	DL_FOREACH_SAFE2 (j->bindings, b, tmp, jnext)
-		if (b->attempt == attempt)
-			binding_drop(c, b);
+static void note_no_room(struct round *r, const struct job *j, uint32_t tasks)
+{
+	if (r->nno == ROUND_NO_MAX || !shape_known(j))
+		return;
+	r->no[r->nno].spec = &j->spec;
+	r->no[r->nno++].tasks = tasks;
 }
 
 static uint32_t in_zone(const struct job *j, const char *zone)
@@ -107,88 +112,239 @@
 	return n;
 }
 
-/* A zone that holds half of a spread job, rounded up, takes no more of it. */
-static const char *full_zone(const struct job *j)
+/* How many more tasks of a spread job the zone may hold. */
+static uint32_t zone_rest(const struct job *j, const char *zone)
 {
-	const struct binding *b;
-	uint32_t most = (j->spec.ntasks + 1) / 2;
+	uint32_t most = (j->spec.ntasks + 1) / 2, n;
 
 	if (!j->spec.spread)
-		return NULL;
-	DL_FOREACH2 (j->bindings, b, jnext)
-		if (in_zone(j, b->machine->zone) >= most)
-			return b->machine->zone;
-	return NULL;
+		return j->spec.ntasks;
+	n = in_zone(j, zone);
+	return n < most ? most - n : 0;
 }
 
 /* The zone that a job of one zone is bound to by tasks it still has anywhere. */
-static const char *held_zone(const struct job *j)
+const char *job_held_zone(const struct job *j)
 {
 	return j->spec.one_zone && j->bindings ? j->bindings->machine->zone : NULL;
 }
 
-static bool place_gang_in(struct core *c, struct job *j, const char *zone)
+static uint64_t new_attempt(struct core *c)
 {
-	uint64_t attempt = new_attempt(c);
+	return (c->el.token << ATTEMPT_SHIFT) + ++c->attempts;
+}
 
-	for (uint32_t t = 0; t < j->spec.ntasks; t++) {
-		struct machine *m = best_machine(c, j, zone, full_zone(j));
+static void place(struct round *r, struct job *j, struct machine *m, uint32_t task,
+		  uint64_t attempt)
+{
+	struct core *c = r->c;
 
-		if (!m) {
-			unplace(c, j, attempt);
-			return false;
-		}
-		place(c, j, m, t, attempt);
+	binding_add(c, m, j, task, attempt);
+	round_take(r, m, &j->spec);
+	log_info("place", "job=%s task=%u attempt=%llu machine=%s waited=%.2f", j->spec.id, task,
+		 (unsigned long long)attempt, m->id, c->wall - j->submitted);
+	commit_chunk(c, j, task, 0);
+}
+
+/* --- gangs --- */
+
+static void find_candidates(struct round *r, struct job *j)
+{
+	round_allow(r, &j->spec);
+	r->ncands = 0;
+	for (size_t i = 0; i < r->nrooms; i++) {
+		struct spot_room *x = &r->rooms[i];
+		struct candidate *k;
+		uint32_t slots;
+
+		if (!r->pools[x->pool].allowed || !(slots = slots_for(r->c, x, j)))
+			continue;
+		k = &r->cands[r->ncands++];
+		k->room = x;
+		k->slots = slots;
+		k->cost = INFINITY;
+	}
+}
+
+static int by_cost(const void *a, const void *b)
+{
+	const struct candidate *x = a, *y = b;
+
+	return x->cost < y->cost ? -1 : x->cost > y->cost;
+}
+
+/* Slots that a gang could use in the zone, or anywhere. */
+static uint32_t zone_slots(const struct round *r, const struct job *j, const char *zone)
+{
+	uint32_t n = 0;
+
+	for (size_t i = 0; i < r->ncands && n < j->spec.ntasks; i++)
+		if (!zone || !strcmp(r->cands[i].room->m->zone, zone))
+			n += r->cands[i].slots;
+	return n;
+}
+
+static void cost_candidates(struct round *r, const struct job *j)
+{
+	for (size_t i = 0; i < r->ncands; i++) {
+		struct spot_room *x = r->cands[i].room;
+
+		if (!isfinite(r->cands[i].cost))
+			r->cands[i].cost = r->pools[x->pool].pool_cost + place_cost(x->m, j);
+	}
+	qsort(r->cands, r->ncands, sizeof(*r->cands), by_cost);
+}
+
+static bool bind_gang(struct round *r, struct job *j, const char *zone)
+{
+	uint64_t attempt = new_attempt(r->c);
+	uint32_t t = 0;
+
+	for (size_t i = 0; i < r->ncands && t < j->spec.ntasks; i++) {
+		struct machine *m = r->cands[i].room->m;
+
+		if (zone && strcmp(m->zone, zone))
+			continue;
+		for (uint32_t k = 0; k < r->cands[i].slots && t < j->spec.ntasks; k++)
+			if (zone_rest(j, m->zone))
+				place(r, j, m, t++, attempt);
 	}
 	j->attempt = attempt;
 	return true;
 }
 
-static bool place_gang(struct core *c, struct job *j)
+/* Whether a spread gang can be had at all: half of it in any one zone at most. */
+static bool spread_fits(const struct round *r, const struct job *j)
+{
+	uint32_t n = 0;
+
+	for (size_t p = 0; p < r->npools; p++) {
+		const char *zone = r->pools[p].zone;
+		bool again = false;
+
+		for (size_t q = 0; q < p; q++)
+			again |= !strcmp(r->pools[q].zone, zone);
+		if (!again)
+			n += (uint32_t)fmin(zone_slots(r, j, zone), zone_rest(j, zone));
+	}
+	return n >= j->spec.ntasks;
+}
+
+/* Of the zones that can take it, the one where its tasks would begin soonest. */
+static const char *best_zone(const struct round *r, const struct job *j)
+{
+	const char *best = NULL;
+	double best_cost = INFINITY;
+
+	for (size_t p = 0; p < r->npools; p++) {
+		const char *zone = r->pools[p].zone;
+		double cost = 0;
+		uint32_t n = 0;
+
+		if (!r->pools[p].allowed || zone_slots(r, j, zone) < j->spec.ntasks)
+			continue;
+		for (size_t i = 0; i < r->ncands && n < j->spec.ntasks; i++) {
+			if (strcmp(r->cands[i].room->m->zone, zone))
+				continue;
+			cost = fmax(cost, r->cands[i].cost);
+			n += r->cands[i].slots;
+		}
+		if (cost < best_cost) {
+			best_cost = cost;
+			best = zone;
+		}
+	}
+	return best;
+}
+
+static bool place_gang(struct round *r, struct job *j)
 {
+	bool together = j->spec.one_zone && j->spec.ntasks > 1;
+	const char *zone = NULL;
+
 	/* Tasks of an old attempt keep their places and zones until they exit. */
-	if (j->bindings || !team_has_room(c, &j->spec, j->spec.ntasks))
+	if (j->bindings || !team_has_room(r->c, &j->spec, j->spec.ntasks))
 		return false;
-	if (!j->spec.one_zone || j->spec.ntasks == 1)
-		return place_gang_in(c, j, NULL);
-	for (size_t t = 0; t < c->ntypes; t++)
-		for (int z = 0; z < c->types[t].nzones; z++)
-			if (place_gang_in(c, j, c->types[t].zones[z]))
-				return true;
+	if (no_room_for(r, j, j->spec.ntasks))
+		return false;
+	find_candidates(r, j);
+	if (zone_slots(r, j, NULL) >= j->spec.ntasks && spread_fits(r, j)) {
+		cost_candidates(r, j);
+		if (!together || (zone = best_zone(r, j))) {
+			plan_release(r->c, j);
+			return bind_gang(r, j, zone);
+		}
+	}
+	note_no_room(r, j, j->spec.ntasks);
 	return false;
 }
 
-static bool place_task(struct core *c, struct job *j);
+/* --- arrays and services --- */
 
-/* A service starts as a whole; what it loses later is replaced task by task. */
-static bool place_service(struct core *c, struct job *j)
+static struct machine *best_machine(struct round *r, struct job *j)
 {
-	if (!j->bindings && !team_has_room(c, &j->spec, j->spec.ntasks))
-		return false;
-	if (!j->bindings)
-		return place_gang(c, j);
-	while (place_task(c, j))
-		;
-	return job_waiting(j) == 0;
+	const char *held = job_held_zone(j);
+	struct machine *best = NULL;
+	double best_cost = INFINITY;
+
+	round_allow(r, &j->spec);
+	for (size_t i = 0; i < r->nrooms; i++) {
+		struct spot_room *x = &r->rooms[i];
+		const struct pool *p = &r->pools[x->pool];
+		double cost = p->pool_cost;
+
+		if (!p->allowed || cost >= best_cost || !slots_for(r->c, x, j) ||
+		    (held && strcmp(held, p->zone)))
+			continue;
+		cost += place_cost(x->m, j);
+		if (cost < best_cost && zone_rest(j, p->zone)) {
+			best_cost = cost;
+			best = x->m;
+		}
+	}
+	return best;
+}
+
+/* The next waiting task whose record has room for one more binding. */
+static uint32_t next_task(const struct core *c, struct job *j)
+{
+	uint32_t t = job_next_waiting(j);
+
+	while (t < j->spec.ntasks &&
+	       (job_bit(j->done, t) || job_bit(j->bound, t) || job_chunk_full(c, j, t)))
+		t = job_chunk_full(c, j, t) ? (t / CHUNK_TASKS + 1) * CHUNK_TASKS : t + 1;
+	return t;
 }
 
-static bool place_task(struct core *c, struct job *j)
+static bool place_task(struct round *r, struct job *j)
 {
 	struct machine *m;
 	uint32_t task;
 
-	if (!job_waiting(j) || !team_has_room(c, &j->spec, 1))
+	if (!job_waiting(j) || !team_has_room(r->c, &j->spec, 1) || no_room_for(r, j, 1))
 		return false;
-	task = job_next_waiting(j);
+	task = next_task(r->c, j);
 	if (task >= j->spec.ntasks)
 		return false;
-	m = best_machine(c, j, held_zone(j), full_zone(j));
-	if (!m)
+	m = best_machine(r, j);
+	if (!m) {
+		note_no_room(r, j, 1);
 		return false;
-	place(c, j, m, task, new_attempt(c));
+	}
+	place(r, j, m, task, new_attempt(r->c));
 	return true;
 }
 
+/* A service starts as a whole; what it loses later is replaced task by task. */
+static bool place_service(struct round *r, struct job *j)
+{
+	if (!j->bindings)
+		return place_gang(r, j);
+	while (place_task(r, j))
+		;
+	return job_waiting(j) == 0;
+}
+
 /* --- the round --- */
 
 static double due(const struct job *j)
@@ -207,39 +363,48 @@
 	return strcmp(x->spec.id, y->spec.id);
 }
 
-/* One task on each machine whose freed slot is kept for, or was switched to, an array. */
-static void serve_turns(struct core *c)
+/* The job whose freed slot, kept for it or switched to it, this is; NULL if it can't use it. */
+static struct job *turn_of(struct round *r, struct machine *m)
 {
-	struct machine *m, *tmp;
+	struct core *c = r->c;
+	struct job *j = *m->turn ? job_find(c, m->turn) : NULL;
+	struct spot_room *x = &r->rooms[m->round_at];
+	const char *zone;
+
+	m->turn[0] = 0;
+	if (!j || c->now > m->turn_until || !job_waiting(j) || c->now < j->not_before ||
+	    j->spec.kind != JOB_ARRAY || job_bad_on(j, m) || !team_has_room(c, &j->spec, 1))
+		return NULL;
+	round_allow(r, &j->spec);
+	zone = job_held_zone(j);
+	if (!r->pools[x->pool].allowed || !slots_for(c, x, j) || !zone_rest(j, m->zone) ||
+	    (zone && strcmp(zone, m->zone)))
+		return NULL;
+	return j;
+}
 
-	HASH_ITER (hh, c->machines, m, tmp) {
-		struct job *j = *m->turn ? job_find(c, m->turn) : NULL;
-		const char *zone, *full;
+static void serve_turns(struct round *r)
+{
+	for (size_t i = 0; i < r->nrooms; i++) {
+		struct machine *m = r->rooms[i].m;
+		struct job *j = *m->turn ? turn_of(r, m) : NULL;
+		uint32_t task = j ? next_task(r->c, j) : 0;
 
-		m->turn[0] = 0;
-		if (!j || c->now > m->turn_until || !job_waiting(j) || c->now < j->not_before ||
-		    !room_for(m, &j->spec) || !machine_usable(c, m) || job_bad_on(j, m) ||
-		    !machine_allowed(m->type, m->zone, m->spot, &j->spec) ||
-		    !team_has_room(c, &j->spec, 1))
-			continue;
-		zone = held_zone(j);
-		full = full_zone(j);
-		if ((zone && strcmp(zone, m->zone)) || (full && !strcmp(full, m->zone)))
-			continue;
-		place(c, j, m, job_next_waiting(j), new_attempt(c));
+		if (j && task < j->spec.ntasks)
+			place(r, j, m, task, new_attempt(r->c));
 	}
 }
 
 /* Arrays that hold nothing: the leader grants one slot to each. */
-static void serve_grants(struct core *c, struct job **jobs, size_t n)
+static void serve_grants(struct round *r, struct job **jobs, size_t n)
 {
 	for (size_t i = 0; i < n; i++)
 		if (!jobs[i]->nbound)
-			place_task(c, jobs[i]);
+			place_task(r, jobs[i]);
 }
 
 /* Arrays of one priority: whoever holds least is served first, one task at a time. */
-static void serve_arrays(struct core *c, struct job **jobs, size_t n)
+static void serve_arrays(struct round *r, struct job **jobs, size_t n)
 {
 	uint32_t level = 0;
 	size_t open;
@@ -254,7 +419,7 @@
 				open++;
 				continue;
 			}
-			if (place_task(c, jobs[i])) {
+			if (place_task(r, jobs[i])) {
 				moved = true;
 				open++;
 			} else {
@@ -281,7 +446,7 @@
 	return n;
 }
 
-static void serve_priority(struct core *c, struct job **jobs, size_t n)
+static void serve_priority(struct round *r, struct job **jobs, size_t n)
 {
 	size_t narrays = 0;
 	struct job **arrays = calloc(n + 1, sizeof(*arrays));
@@ -291,20 +456,37 @@
 	for (size_t i = 0; i < n; i++) {
 		if (jobs[i]->spec.kind == JOB_ARRAY)
 			arrays[narrays++] = jobs[i];
-		else if (!(jobs[i]->spec.kind == JOB_GANG ? place_gang : place_service)(c, jobs[i]))
-			preempt_for(c, jobs[i]);
+		else if (!(jobs[i]->spec.kind == JOB_GANG ? place_gang : place_service)(r, jobs[i]))
+			plan_room(r, jobs[i]);
 	}
-	serve_grants(c, arrays, narrays);
+	serve_grants(r, arrays, narrays);
 	if (narrays)
-		serve_turns(c);
-	serve_arrays(c, arrays, narrays);
+		serve_turns(r);
+	serve_arrays(r, arrays, narrays);
 	free(arrays);
 }
 
+static void round_run(struct core *c, struct job **jobs, size_t n)
+{
+	struct round r;
+	size_t first = 0;
+
+	round_begin(c, &r);
+	while (first < n) {
+		size_t last = first;
+
+		while (last < n && jobs[last]->spec.priority == jobs[first]->spec.priority)
+			last++;
+		serve_priority(&r, jobs + first, last - first);
+		first = last;
+	}
+	round_end(&r);
+}
+
 void round_tick(struct core *c)
 {
 	struct job **jobs;
-	size_t n, first = 0;
+	size_t n;
 
 	if (c->now >= c->round_again)
 		round_wanted(c); /* backoffs and freshness pass without an event */
@@ -315,13 +497,7 @@
 	if (c->now - c->el.renewed > LEADER_TTL_MS / 1000.0 * 2)
 		return; /* without the state service nothing can be committed */
 	n = waiting_jobs(c, &jobs);
-	while (first < n) {
-		size_t last = first;
-
-		while (last < n && jobs[last]->spec.priority == jobs[first]->spec.priority)
-			last++;
-		serve_priority(c, jobs + first, last - first);
-		first = last;
-	}
+	if (n)
+		round_run(c, jobs, n);
 	free(jobs);
 }
--- /dev/null
+++ b/src/core/plan.c
@@ -0,0 +1,310 @@
+/*
+ * Room for a gang that finds none: lower work is stopped for it, or room is held for it as it
+ * falls free. Held room is nobody else's, so that what was stopped does not serve others, and so
+ * that a large gang is not passed by small ones for ever; work that ends before the gang can
+ * begin still backfills (place.c).
+ */
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/round.h"
+#include "util/log.h"
+
+void plan_release(struct core *c, struct job *j)
+{
+	struct machine *m, *tmp;
+
+	if (!j->hold_until)
+		return;
+	j->hold_until = 0;
+	HASH_ITER (hh, c->machines, m, tmp) {
+		if (m->hold_job != j)
+			continue;
+		m->hold_job = NULL;
+		m->hold_tasks = 0;
+	}
+}
+
+/* --- what may be stopped --- */
+
+/* What the team holds beyond its guarantee was borrowed, and is returned to a team within its own.
+ */
+static bool borrowed(const struct core *c, const struct binding *b, const struct job *j)
+{
+	const struct team *t = team_find((struct core *)c, b->job->spec.team);
+	const struct team *own = team_find((struct core *)c, j->spec.team);
+	double n = j->spec.kind == JOB_ARRAY ? 1 : j->spec.ntasks;
+
+	if (!t || !own || t == own || own->conf->cpus <= 0 || t->conf->cpus <= 0)
+		return false;
+	return own->cpus + n * j->spec.cpus <= own->conf->cpus &&
+	       (j->spec.gpus <= 0 || own->gpus + n * j->spec.gpus <= own->conf->gpus) &&
+	       t->cpus - b->job->spec.cpus >= t->conf->cpus;
+}
+
+static bool may_stop(const struct core *c, const struct job *j, const struct binding *b)
+{
+	if (b->job->spec.kind != JOB_ARRAY || b->job->ghost)
+		return false;
+	return b->job->spec.priority > j->spec.priority || borrowed(c, b, j);
+}
+
+/* Work lost or delayed by stopping: what ran longest since placement is nearest its end. */
+static double stop_cost(const struct core *c, const struct binding *b)
+{
+	return 1 + (b->running_since > 0 ? c->now - b->running_since : 0);
+}
+
+static double grace_of(const struct binding *b)
+{
+	/* Saving needs the full time; a margin for the way there. */
+	return b->job->spec.checkpoint_s > 0 ? b->job->spec.save_s + 1 : 0;
+}
+
+struct room {
+	double cpus, gpus, mem_gb;
+};
+
+static void room_grow(struct room *r, const struct binding *b)
+{
+	r->cpus += b->job->spec.cpus;
+	r->gpus += b->job->spec.gpus;
+	r->mem_gb += b->job->spec.mem_gb;
+}
+
+static uint32_t slots_of(const struct room *r, const struct job *j)
+{
+	return room_slots(r->cpus, r->gpus, r->mem_gb, &j->spec);
+}
+
+/* At its limit, a team makes room among its own tasks only. */
+struct demand {
+	const struct core *c;
+	const struct job *j;
+	bool own;
+	bool stop;  /* by stopping lower work */
+	bool await; /* by waiting for what runs to end */
+};
+
+static bool frees(const struct demand *d, const struct binding *b)
+{
+	if (b->stopping)
+		return true;
+	if (d->await)
+		return true;
+	return d->stop && may_stop(d->c, d->j, b) &&
+	       (!d->own || !strcmp(b->job->spec.team, d->j->spec.team));
+}
+
+/* Seconds until it has ended, as far as its owner's estimate tells. */
+static double ends_in(const struct core *c, const struct binding *b)
+{
+	double run = b->job->spec.estimate_s;
+
+	if (b->stopping)
+		return b->grace_s;
+	if (b->running_since > 0)
+		run -= c->now - b->running_since;
+	return fmax(run, RESERVE_LEAST_S);
+}
+
+static double free_cost(const struct demand *d, const struct binding *b)
+{
+	if (b->stopping)
+		return 0;
+	return d->await ? ends_in(d->c, b) : stop_cost(d->c, b);
+}
+
+/* The slots that the machine would have, and what they cost. */
+static uint32_t machine_offer(const struct demand *d, const struct machine *m, double *cost)
+{
+	struct room r = {m->cpus, m->gpus, m->mem_gb};
+	uint32_t now = slots_of(&r, d->j), all;
+	const struct binding *b;
+
+	*cost = 0;
+	DL_FOREACH2 (m->bindings, b, mnext) {
+		if (!frees(d, b))
+			continue;
+		room_grow(&r, b);
+		*cost = d->await ? fmax(*cost, free_cost(d, b)) : *cost + free_cost(d, b);
+	}
+	all = slots_of(&r, d->j);
+	if (all > now)
+		return all;
+	*cost = 0;
+	return now;
+}
+
+/* --- choosing machines --- */
+
+struct choice {
+	struct candidate *cands; /* cheapest first */
+	size_t n;
+	const char *zone;
+	double cost; /* of the dearest, or all, that are needed */
+};
+
+static int by_cost_per_slot(const void *a, const void *b)
+{
+	const struct candidate *x = a, *y = b;
+	double cx = x->cost / x->slots, cy = y->cost / y->slots;
+
+	return cx < cy ? -1 : cx > cy;
+}
+
+static void offers(struct round *r, const struct demand *d)
+{
+	round_allow(r, &d->j->spec);
+	r->ncands = 0;
+	for (size_t i = 0; i < r->nrooms; i++) {
+		struct spot_room *x = &r->rooms[i];
+		struct candidate *k = &r->cands[r->ncands];
+
+		if (!r->pools[x->pool].allowed || (x->m->hold_job && x->m->hold_job != d->j))
+			continue;
+		k->room = x;
+		k->slots = machine_offer(d, x->m, &k->cost);
+		r->ncands += k->slots > 0;
+	}
+	qsort(r->cands, r->ncands, sizeof(*r->cands), by_cost_per_slot);
+}
+
+/* The cost of the gang's room in the zone, or anywhere; INFINITY if it can't be had. */
+static double zone_offer(const struct round *r, const struct job *j, const char *zone)
+{
+	uint32_t n = 0;
+	double cost = 0;
+
+	for (size_t i = 0; i < r->ncands && n < j->spec.ntasks; i++) {
+		const struct candidate *k = &r->cands[i];
+
+		if (zone && strcmp(zone, k->room->m->zone))
+			continue;
+		n += k->slots;
+		cost += k->cost;
+	}
+	return n >= j->spec.ntasks ? cost : INFINITY;
+}
+
+static bool choose(struct round *r, const struct demand *d, struct choice *out)
+{
+	const struct job *j = d->j;
+
+	offers(r, d);
+	out->zone = NULL;
+	out->cost = INFINITY;
+	if (!j->spec.one_zone || j->spec.ntasks == 1) {
+		out->cost = zone_offer(r, j, NULL);
+		return isfinite(out->cost);
+	}
+	for (size_t p = 0; p < r->npools; p++) {
+		double cost = r->pools[p].allowed ? zone_offer(r, j, r->pools[p].zone) : INFINITY;
+
+		if (cost < out->cost) {
+			out->cost = cost;
+			out->zone = r->pools[p].zone;
+		}
+	}
+	return isfinite(out->cost);
+}
+
+/* --- carrying it out --- */
+
+static struct binding *cheapest(const struct demand *d, struct machine *m)
+{
+	struct binding *b, *best = NULL;
+
+	DL_FOREACH2 (m->bindings, b, mnext)
+		if (!b->stopping && frees(d, b) &&
+		    (!best || stop_cost(d->c, b) < stop_cost(d->c, best)))
+			best = b;
+	return best;
+}
+
+static void stop_for(struct core *c, const struct demand *d, struct machine *m, uint32_t want)
+{
+	struct room r = {m->cpus, m->gpus, m->mem_gb};
+	struct binding *b;
+
+	DL_FOREACH2 (m->bindings, b, mnext)
+		if (b->stopping)
+			room_grow(&r, b);
+	while (slots_of(&r, d->j) < want && (b = cheapest(d, m))) {
+		log_info("preempt", "job=%s for=%s machine=%s", b->job->spec.id, d->j->spec.id,
+			 m->id);
+		room_grow(&r, b);
+		binding_stop(c, b, grace_of(b));
+	}
+}
+
+static void carry_out(struct round *r, const struct demand *d, struct job *j,
+		      const struct choice *ch)
+{
+	uint32_t left = j->spec.ntasks;
+	double ready = 0;
+
+	for (size_t i = 0; i < r->ncands && left; i++) {
+		struct candidate *k = &r->cands[i];
+		struct machine *m = k->room->m;
+		uint32_t n = k->slots < left ? k->slots : left;
+
+		if (ch->zone && strcmp(ch->zone, m->zone))
+			continue;
+		m->hold_job = j;
+		m->hold_tasks = n;
+		left -= n;
+		ready = fmax(ready, k->cost);
+		if (d->stop)
+			stop_for(r->c, d, m, n);
+	}
+	j->hold_ready = r->c->now + (d->stop ? 0 : ready);
+}
+
+static uint32_t held_gangs(struct core *c)
+{
+	struct job *j, *tmp;
+	uint32_t n = 0;
+
+	HASH_ITER (hh, c->jobs, j, tmp)
+		n += j->hold_until > 0;
+	return n;
+}
+
+static bool try_plan(struct round *r, struct job *j, struct demand *d, double hold_s)
+{
+	struct choice ch;
+
+	if (!choose(r, d, &ch))
+		return false;
+	carry_out(r, d, j, &ch);
+	j->hold_until = r->c->now + hold_s;
+	log_info("hold", "job=%s tasks=%u zone=%s stop=%d cost=%.0f waited=%.1f", j->spec.id,
+		 j->spec.ntasks, ch.zone ? ch.zone : "", d->stop, ch.cost,
+		 r->c->wall - j->submitted);
+	return true;
+}
+
+/* Called in a round for each gang that found no room. */
+bool plan_room(struct round *r, struct job *j)
+{
+	struct core *c = r->c;
+	double waited = c->now - j->waiting_since;
+	struct demand d = {c, j, false, true, false};
+
+	if (j->hold_until && c->now > j->hold_until)
+		plan_release(c, j);
+	if (j->bindings || j->hold_until || j->spec.spread || waited < PREEMPT_AFTER_S ||
+	    c->now < j->next_plan)
+		return false;
+	j->next_plan = c->now + PLAN_AGAIN_S;
+	d.own = !team_has_room(c, &j->spec, j->spec.ntasks);
+	if (try_plan(r, j, &d, PREEMPT_HOLD_S))
+		return true;
+	if (d.own || c->wall - j->submitted < RESERVE_AFTER_S || held_gangs(c) >= RESERVE_MOST)
+		return false;
+	d.stop = false;
+	d.await = true;
+	return try_plan(r, j, &d, RESERVE_HOLD_S);
+}
--- /dev/null
+++ b/src/core/round.h
@@ -0,0 +1,65 @@
+/*
+ * The room of usable machines as one round of decisions sees it: a compact copy, so that looking
+ * for room does not touch every machine's own memory. Built when a round begins, kept true by
+ * round_take; nothing else binds or frees while a round lasts.
+ */
+#ifndef PLOVERLOFT_ROUND_H
+#define PLOVERLOFT_ROUND_H
+
+#include "core/state.h"
+
+/* Machines alike to a job's demands: one type, zone and kind. */
+struct pool {
+	const struct machine_type *type;
+	const char *zone;
+	bool spot;
+	bool allowed;	  /* for the job last given to round_allow */
+	double pool_cost; /* seconds, of what all machines of the pool share */
+};
+
+struct spot_room {
+	double cpus, gpus, mem_gb;
+	struct machine *m;
+	uint16_t pool;
+};
+
+struct candidate {
+	struct spot_room *room;
+	uint32_t slots;
+	double cost;
+};
+
+/* A shape and size that found no room in this round; room only shrinks while it lasts. */
+struct no_room {
+	const struct job_spec *spec;
+	uint32_t tasks;
+};
+
+struct round {
+	struct core *c;
+	struct spot_room *rooms;
+	size_t nrooms;
+	struct pool pools[ROUND_POOLS_MAX];
+	size_t npools;
+	struct candidate *cands;
+	size_t ncands;
+	struct no_room no[ROUND_NO_MAX];
+	size_t nno;
+	bool ordinary_wanted; /* some job may not use spot machines */
+};
+
+void round_begin(struct core *c, struct round *r);
+void round_end(struct round *r);
+void round_take(struct round *r, const struct machine *m, const struct job_spec *s);
+/* Marks the pools that the job may use. */
+void round_allow(struct round *r, const struct job_spec *s);
+uint32_t room_slots(double cpus, double gpus, double mem_gb, const struct job_spec *s);
+/* Seconds that placing here costs, as far as can be told. */
+double place_cost(const struct machine *m, const struct job *j);
+const char *job_held_zone(const struct job *j);
+
+/* plan.c: room for gangs that find none */
+bool plan_room(struct round *r, struct job *j);
+void plan_release(struct core *c, struct job *j);
+
+#endif
--- a/src/core/state.h
+++ b/src/core/state.h
@@ -102,23 +102,30 @@
 	bool draining;
 	bool deleting; /* a delete was decided: it gets no tasks any more */
 	bool delete_out;
-	bool gone;     /* the cloud's 200 to its delete came */
-	bool dropping; /* the transaction under way drops its record */
-
-	/* the record */
-	uint64_t version;
-	bool dirty, flying;
+	bool gone; /* the cloud's 200 to its delete came */
 
 	char images[MACHINE_IMAGES][NAME_MAX_LEN];
 	int nimages;
 	char failed_jobs[MACHINE_FAULT_JOBS][ID_MAX];
 	int nfailed_jobs;
+	struct job *hold_job; /* the gang that room here is held for */
+	uint32_t hold_tasks;
+	uint32_t round_at; /* place in the round's list of rooms */
 	char turn[ID_MAX]; /* the array whose turn it is on the slot that fell free */
 	double turn_until;
 	double no_place_until;
 	UT_hash_handle hh;
 };
 
+/* The record of a range of a job's tasks: what is done of it and what is bound where. */
+struct chunk {
+	uint64_t version; /* 0: no record */
+	uint32_t nbound;
+	uint32_t bytes; /* of its bindings in the record, at most */
+	bool queued, flying;
+	bool ending; /* the transaction under way drops it with its job */
+};
+
 struct job {
 	struct job_spec spec;
 	uint64_t version; /* of its record */
@@ -136,11 +143,13 @@
 	int errors;
 	char bad[ERROR_JOB_MACHINES][ID_MAX];
 	int nbad;
-	double preempted_at;
-	double waiting_since;	/* steady */
-	uint64_t *done_version; /* per chunk */
-	uint8_t *done_dirty;
-	uint8_t *done_flying;
+	double done_at;	      /* steady; its last task was heard to be done; 0: not yet */
+	double hold_until;    /* steady; room is held for it; 0: none */
+	double hold_ready;    /* when that room should be free */
+	double next_plan;     /* no look for room to be made before */
+	double waiting_since; /* steady */
+	struct chunk *chunks;
+	uint32_t uncommitted; /* bindings not on record yet */
 	struct binding *bindings;
 	UT_hash_handle hh;
 };
@@ -152,12 +161,15 @@
 
 /* --- the leader's transactions --- */
 
-enum write_kind { WR_MACHINE, WR_DONE, WR_FINAL };
+enum write_kind { WR_CHUNK, WR_FINAL, WR_DROP };
 
 struct write {
 	enum write_kind kind;
-	void *obj;
+	struct job *job;
 	uint32_t chunk;
+	double due;	  /* a chunk: ends alone can wait for the next placement */
+	char id[ID_MAX];  /* WR_DROP: the job whose chunk is left over */
+	uint64_t version; /* WR_DROP: of the key */
 	struct write *prev, *next;
 };
 
@@ -264,7 +276,7 @@
 	struct job *jobs;
 	struct machine *machines;
 	struct team *teams;
-	struct write *writes;
+	struct write *writes, *finals_due, *drops; /* in order of urgency */
 	struct flight flight;
 	bool flying;
 	double commit_again;
@@ -281,7 +293,7 @@
 	bool *peer_live; /* by its last answer */
 	double next_pair;
 	uint64_t switches; /* made since this process began */
-	double next_round, round_again, next_machines;
+	double next_round, round_again, next_machines, next_jobs;
 	double lead_since;
 
 	/* rentals */
@@ -323,6 +335,13 @@
 json_t *election_value(const struct core *c);
 #define LEADER_KEY "leader"
 
+/* Keys: all that users may ask about lies under one prefix, so that one read of changes tells it.
+ */
+#define JOBS_ALL "u/"
+#define JOBS_OPEN "u/j/"
+#define JOBS_OVER "u/f/"
+#define JOBS_BOUND "b/"
+
 /* load.c */
 void load_start(struct core *c);
 void load_tick(struct core *c);
@@ -347,7 +366,11 @@
 uint32_t job_waiting(const struct job *j);
 uint32_t job_next_waiting(struct job *j);
 void job_settle(struct core *c, struct job *j);
+void job_tick(struct core *c);
 void job_free(struct core *c, struct job *j);
+/* Frees a job that is over once nothing of it is bound or being written. */
+void job_release(struct core *c, struct job *j);
+bool job_chunk_full(const struct core *c, const struct job *j, uint32_t task);
 void job_failed_on(struct core *c, struct job *j, struct machine *m);
 
 /* teams.c */
@@ -381,14 +404,18 @@
 void workers_kick(struct core *c, struct machine *m);
 void workers_ask(struct core *c, struct machine *m);
 void workers_tick(struct core *c);
+void workers_fenced(struct core *c);
 
 /* commit.c */
-void commit_machine(struct core *c, struct machine *m);
-void commit_done(struct core *c, struct job *j, uint32_t chunk);
+void commit_chunk(struct core *c, struct job *j, uint32_t task, double delay_s);
+void commit_drop(struct core *c, const char *id, uint32_t chunk, uint64_t version);
 void commit_final(struct core *c, struct job *j);
 void commit_tick(struct core *c);
 void commit_clear(struct core *c);
-bool commit_touches(const struct core *c, const void *obj);
+/* True once nothing about the task's chunk or its job's end waits to be written. */
+bool commit_settled(const struct core *c, const struct job *j, uint32_t task);
+#define KEY_MAX 200
+void key_chunk(char *key, const char *id, uint32_t chunk);
 
 /* place.c */
 void round_wanted(struct core *c);
@@ -401,9 +428,6 @@
 void pair_take_switches(struct core *c, const uint8_t *data, size_t len);
 void pair_tick(struct core *c);
 
-/* preempt.c */
-bool preempt_for(struct core *c, struct job *j);
-
 /* rent.c */
 void rent_tick(struct core *c);
 void rent_clear(struct core *c);
--- a/src/core/users.c
+++ b/src/core/users.c
@@ -174,7 +174,7 @@
 
 static void user_read(struct core *c, struct user_req *u, const char *prefix, call_fn fn)
 {
-	char key[ID_MAX + 4];
+	char key[ID_MAX + 8];
 
 	snprintf(key, sizeof(key), "%s%s", prefix, u->id);
 	c->nreads++;
@@ -191,7 +191,7 @@
 	c->nreads--;
 	store_heard(c, status);
 	if (status == 404) {
-		user_read(c, u, "f/", on_final_read);
+		user_read(c, u, JOBS_OVER, on_final_read);
 		return;
 	}
 	o = status == 200 ? wire_parse(body, len) : NULL;
@@ -210,7 +210,7 @@
 		user_fail(c, u, 429, RETRY_AFTER_BUSY_S, "busy");
 		return;
 	}
-	user_read(c, u, "j/", on_open_read);
+	user_read(c, u, JOBS_OPEN, on_open_read);
 }
 
 /* --- submissions, committed in batches --- */
@@ -241,11 +241,11 @@
 	struct user_req *u, *tmp;
 
 	DL_FOREACH_SAFE (list, u, tmp) {
-		char j[ID_MAX + 4], f[ID_MAX + 4];
+		char j[ID_MAX + 8], f[ID_MAX + 8];
 
 		DL_DELETE(list, u);
-		snprintf(j, sizeof(j), "j/%s", u->id);
-		snprintf(f, sizeof(f), "f/%s", u->id);
+		snprintf(j, sizeof(j), JOBS_OPEN "%s", u->id);
+		snprintf(f, sizeof(f), JOBS_OVER "%s", u->id);
 		if (wire_failed_has(o, j) || wire_failed_has(o, f)) {
 			user_lookup(c, u);
 		} else {
@@ -289,11 +289,11 @@
 
 static void add_submit(struct core *c, struct txn *t, struct user_req *u)
 {
-	char key[ID_MAX + 4];
+	char key[ID_MAX + 8];
 
-	snprintf(key, sizeof(key), "f/%s", u->id);
+	snprintf(key, sizeof(key), JOBS_OVER "%s", u->id);
 	txn_guard(t, key, 0);
-	snprintf(key, sizeof(key), "j/%s", u->id);
+	snprintf(key, sizeof(key), JOBS_OPEN "%s", u->id);
 	txn_guard(t, key, 0);
 	txn_put(t, key, users_record(u->spec, c->wall, false), 0);
 }
--- a/src/core/workers.c
+++ b/src/core/workers.c
@@ -191,17 +191,11 @@
 static bool may_start(const struct binding *b)
 {
 	const struct job *j = b->job;
-	const struct binding *o;
 
 	if (!b->committed || b->seen || b->stopping || j->cancelled || j->ghost ||
 	    j->gang_stopping || b->loaded)
 		return false;
-	if (j->spec.kind != JOB_GANG)
-		return true;
-	DL_FOREACH2 (j->bindings, o, jnext)
-		if (!o->committed)
-			return false;
-	return true;
+	return j->spec.kind != JOB_GANG || !j->uncommitted;
 }
 
 static void command_binding(struct core *c, struct machine *m, struct binding *b,
@@ -227,9 +221,9 @@
 	struct job *j = job_find(c, l->job);
 
 	/* Its end must be on record first: until then this list is the only proof. */
-	if (!fenced(m) || m->token < c->el.token || m->dirty || m->flying)
+	if (!fenced(m) || m->token < c->el.token)
 		return false;
-	return !j || !commit_touches(c, j);
+	return !j || l->task >= j->spec.ntasks || commit_settled(c, j, l->task);
 }
 
 static void gather(struct core *c, struct machine *m, struct command_list *l, bool beat)
@@ -384,3 +378,8 @@
 			send_direct(c, m);
 	}
 }
+
+void workers_fenced(struct core *c)
+{
+	(void)c;
+}
