Arrays that could not begin again in time are not stopped; stopping waits a little

A task whose job could not begin anew before its deadline is no longer stopped, and a gang waits a tenth of its shortest wait aim first, since room may fall free meanwhile.

--- a/src/constants.h
+++ b/src/constants.h
@@ -115,13 +115,15 @@
 #define PAIR_QUANTUM_S 5.0	 /* seconds between pairings, from the design */
 #define PAIR_JITTER 0.4		 /* share of the quantum, so that controllers' loads spread */
 #define TURN_S 2.0		 /* seconds a freed slot is kept for its job: a round or two */
-#define GPU_WASTE_S 3.0	     /* seconds: what taking room beside unused GPUs is worth in waiting */
-#define FIT_WEIGHT_S 0.5     /* seconds: the best fit matters less than a held image */
-#define PREEMPT_AFTER_S 0.2  /* seconds of waiting before lower work is stopped */
-#define PREEMPT_HOLD_S 20.0  /* seconds room is held for a gang that work was stopped for */
-#define PLAN_AGAIN_S 2.0     /* seconds between looks for room to be made for one gang */
-#define RESERVE_AFTER_S 60.0 /* seconds a gang waits before room is held for it: it has to begin   \
-			      */
+#define GPU_WASTE_S 3.0	    /* seconds: what taking room beside unused GPUs is worth in waiting */
+#define FIT_WEIGHT_S 0.5    /* seconds: the best fit matters less than a held image */
+#define PREEMPT_AFTER_S 0.2 /* seconds of waiting before lower work is stopped */
+#define PREEMPT_SHARE 0.1   /* share of the class's shortest wait aim that passes first */
+#define PREEMPT_HOLD_S 20.0 /* seconds room is held for a gang that work was stopped for */
+#define PLAN_AGAIN_S 2.0    /* seconds between looks for room to be made for one gang */
+#define RESERVE_AFTER_S                                                                            \
+	60.0 /* seconds a gang waits before room is held for it: it has to begin                   \
+	      */
 /* within four minutes, and what runs ends in one or two */
 #define RESERVE_HOLD_S 120.0 /* seconds room is held before the choice is made anew */
 #define RESERVE_MOST 6	     /* gangs with room held at once: held room is idle room */
--- a/src/core/plan.c
+++ b/src/core/plan.c
@@ -43,9 +43,22 @@
 	       t->cpus - b->job->spec.cpus >= t->conf->cpus;
 }
 
+/*
+ * A task that would still be done by its job's deadline, but not if it began again: stopping it
+ * trades one missed aim for another. Past the deadline there is nothing more to protect.
+ */
+static bool needs_its_time(const struct core *c, const struct binding *b)
+{
+	const struct job_spec *s = &b->job->spec;
+	double left = b->job->submitted + s->deadline_s - c->wall;
+	double again = s->estimate_s * BACKFILL_FACTOR + RENT_LEAD_S;
+
+	return s->deadline_s >= 0 && left > 0 && left < again;
+}
+
 static bool may_stop(const struct core *c, const struct job *j, const struct binding *b)
 {
-	if (b->job->spec.kind != JOB_ARRAY || b->job->ghost)
+	if (b->job->spec.kind != JOB_ARRAY || b->job->ghost || needs_its_time(c, b))
 		return false;
 	return b->job->spec.priority > j->spec.priority || borrowed(c, b, j);
 }
@@ -286,6 +299,22 @@
 	return true;
 }
 
+/* Seconds of waiting before lower work is stopped: room may fall free while the aim is not at risk.
+ */
+static double patience(const struct core *c, const struct job *j)
+{
+	double within = 0;
+
+	for (size_t i = 0; i < c->conf->nobjectives; i++) {
+		const struct conf_objective *o = &c->conf->objectives[i];
+
+		if (o->kind == OBJ_WAIT && !strcmp(o->class_name, j->spec.class_name) &&
+		    (within <= 0 || o->within_s < within))
+			within = o->within_s;
+	}
+	return fmax(PREEMPT_AFTER_S, PREEMPT_SHARE * within);
+}
+
 /* Called in a round for each gang that found no room. */
 bool plan_room(struct round *r, struct job *j)
 {
@@ -295,7 +324,7 @@
 
 	if (j->hold_until && c->now > j->hold_until)
 		plan_release(c, j);
-	if (j->bindings || j->hold_until || j->spec.spread || waited < PREEMPT_AFTER_S ||
+	if (j->bindings || j->hold_until || j->spec.spread || waited < patience(c, j) ||
 	    c->now < j->next_plan)
 		return false;
 	j->next_plan = c->now + PLAN_AGAIN_S;
