Late copies, one-way and restarted machines: whose words count, and from when

A report counts once its worker has shown this term's token; within the term (session, sequence) orders what a machine says. A machine whose lease runs out while we answer, or that ignores starts, gets no work until it answers a question; one whose answer looks older than what was known when asked began anew, and is fenced off with a new token. New machines are asked at once, so nothing waits for their second report.

--- a/src/constants.h
+++ b/src/constants.h
@@ -88,6 +88,10 @@
 #define MACHINE_DEAD_MARGIN_S                                                                      \
 	1.0		   /* seconds beyond the worker's lease: its tasks are lost anyway         \
 			    */
+#define MACHINE_ASK_S 1.0	 /* seconds between questions to one machine */
+#define ASKS_PER_S 40.0	 /* questions a second to all: each costs as much as a report */
+#define MACHINE_UNHEEDED 2	 /* reports in a row that ignore a start: one answer may be lost */
+#define MACHINE_DEAF_S 60.0	 /* seconds a machine that does not hear us is kept */
 #define MACHINE_SHOW_S 3.0 /* seconds between questions to a machine not heard of this term */
 #define MACHINE_BOOT_FACTOR                                                                        \
 	3.0 /* times the boot time before a machine counts as never coming up                      \
@@ -146,7 +150,7 @@
 #define RENT_ESTIMATE_FACTOR 1.5 /* times the estimate: owners are often wrong by half */
 #define RENT_LEAD_S 60.0	 /* seconds to rent, boot and fetch before a task can start */
 #define RENT_JITTER 0.02	 /* share: equal offers are spread over zones */
-#define TOMB_S 60.0		 /* seconds a deleted machine may still be listed */
+#define TOMBS_MAX 8192		 /* deleted machines remembered in a term: lists lag, copies come late */
 #define NOTICE_MARGIN_S 2.0	 /* seconds beyond the save: the stop has to arrive */
 #define RENT_REFUSED_S 10.0	 /* seconds before a refused type, zone and kind is asked again */
 #define RENT_REFUSED_MAX_S 40.0	 /* seconds: capacity may come back any time */
--- a/src/core/election.c
+++ b/src/core/election.c
@@ -168,7 +168,7 @@
 	o = wire_parse(body, len);
 	c->el.token = wire_revision(o);
 	json_decref(o);
-	c->el.revision = c->el.token;
+	c->el.revision = c->el.first_token = c->el.token;
 	snprintf(c->el.leader, sizeof(c->el.leader), "%s", c->conf->name);
 	c->el.role = ROLE_LOADING;
 	c->el.term++;
--- a/src/core/load.c
+++ b/src/core/load.c
@@ -135,7 +135,6 @@
 static void load_finish(struct core *c)
 {
 	struct job *j, *tmp;
-	struct machine *m, *mtmp;
 
 	HASH_ITER (hh, c->jobs, j, tmp) {
 		struct binding *b;
@@ -162,8 +161,6 @@
 	c->write_tokens = c->conf->state_write_rps * WRITE_SHARE_LEADER;
 	log_info("lead", "state=leading jobs=%u machines=%u", HASH_COUNT(c->jobs),
 		 HASH_COUNT(c->machines));
-	HASH_ITER (hh, c->machines, m, mtmp)
-		workers_ask(c, m);
 	round_wanted(c);
 }
 
--- a/src/core/machines.c
+++ b/src/core/machines.c
@@ -25,6 +25,8 @@
 		abort();
 	snprintf(m->id, sizeof(m->id), "%s", id);
 	m->last_beat = m->last_word = m->notice_s = -1;
+	m->asked_at = c->now - MACHINE_ASK_S;
+	m->hears = true;
 	m->rented_at = m->idle_since = c->now;
 	HASH_ADD_STR(c->machines, id, m);
 	return m;
@@ -83,7 +85,7 @@
 
 bool machine_usable(const struct core *c, const struct machine *m)
 {
-	return m->type && m->session && !m->draining && !m->deleting && !m->failed &&
+	return m->type && m->session && m->hears && !m->draining && !m->deleting && !m->failed &&
 	       m->notice_s < 0 && machine_fresh(c, m) && c->now >= m->no_place_until;
 }
 
@@ -141,7 +143,7 @@
 
 static bool silent_too_long(const struct core *c, const struct machine *m)
 {
-	double since = m->last_beat >= 0 ? m->last_beat : c->lead_since;
+	double since = m->last_beat >= 0 ? m->last_beat : m->last_word >= 0 ? m->up_at : c->lead_since;
 	double most = c->conf->lease_s * (1 + CLOCK_DRIFT) + MACHINE_DEAD_MARGIN_S;
 
 	if (m->last_word < 0 && !m->bindings)
@@ -163,8 +165,14 @@
 		return;
 	}
 	/* Known from a record or the list, but not heard of under this leader. */
-	if (m->last_word < 0 && *m->addr && m->nbindings && c->now - m->asked_at > MACHINE_SHOW_S)
+	if (m->last_word < 0 && *m->addr && m->nbindings && c->now - m->asked_at > MACHINE_SHOW_S &&
+	    c->now - c->lead_since > c->conf->report_s)
 		workers_ask(c, m);
+	/* Deaf since long, while the lease must have taken its tasks: it is replaced. */
+	if (!m->hears && !m->nbindings && c->now - m->deaf_since > MACHINE_DEAF_S) {
+		log_info("machine_deaf_returned", "machine=%s", m->id);
+		m->deleting = true;
+	}
 }
 
 /* If nearly all fall silent at once, it is this controller that is cut off. */
--- a/src/core/rent.c
+++ b/src/core/rent.c
@@ -100,7 +100,7 @@
 
 /* --- the list --- */
 
-static bool tomb_has(struct core *c, const char *id)
+bool machine_buried(struct core *c, const char *id)
 {
 	struct tomb *t;
 
@@ -113,12 +113,12 @@
 	struct tomb *t, *tmp;
 
 	HASH_ITER (hh, c->tombs, t, tmp) {
-		if (c->now - t->at < TOMB_S)
+		if (HASH_COUNT(c->tombs) < TOMBS_MAX)
 			break; /* oldest first */
 		HASH_DEL(c->tombs, t);
 		free(t);
 	}
-	if (tomb_has(c, id))
+	if (machine_buried(c, id))
 		return;
 	t = calloc(1, sizeof(*t));
 	if (!t)
@@ -133,7 +133,7 @@
 	struct machine *m = machine_find(c, l->id);
 
 	/* A lagging list still names what was deleted: it must not come back to life. */
-	if (!m && (tomb_has(c, l->id) || l->state == LS_FAILED))
+	if (!m && (machine_buried(c, l->id) || l->state == LS_FAILED))
 		return;
 	if (!m) {
 		m = machine_get(c, l->id);
@@ -142,7 +142,7 @@
 			 l->state, l->age_s);
 	}
 	machine_describe(c, m, l->addr, l->type, l->zone, l->spot);
-	m->listed = true;
+	m->listed = m->expected = true;
 	m->missing = 0;
 	m->list_round = c->list_round;
 	if (l->state == LS_FAILED)
@@ -480,6 +480,9 @@
 
 		if (!m->type || m->deleting || m->draining || m->failed || m->notice_s >= 0)
 			continue;
+		/* Neither a copy's ghost nor one that does not hear us is room. */
+		if (m->last_word < 0 ? !m->expected : !m->hears)
+			continue;
 		v = plan_add(p, m->type, m->zone, m->spot);
 		if (m->last_word < 0)
 			continue;
@@ -600,10 +603,11 @@
 		log_info("rented", "request=%s type=%s zone=%s spot=%d asked=%d got=%zu", q->name,
 			 q->type, q->zone, q->spot, q->count, n);
 		for (size_t i = 0; i < n; i++) {
-			if (!tomb_has(c, ids[i])) {
+			if (!machine_buried(c, ids[i])) {
 				struct machine *m = machine_get(c, ids[i]);
 
 				machine_describe(c, m, "", q->type, q->zone, q->spot);
+				m->expected = true;
 			}
 			free(ids[i]);
 		}
--- a/src/core/state.h
+++ b/src/core/state.h
@@ -29,6 +29,7 @@
 	void (*drop)(void *arg); /* frees arg if no answer is waited for any more */
 	uint64_t term; /* leadership under which it was made: answers of an older one are void */
 	double sent;
+	uint64_t session, seq; /* asked of a worker: what was known of it by then */
 	bool starts;	/* direct commands: a start is among them */
 	uint64_t token; /* direct commands: sent under it */
 	char key[CONF_NAME_MAX + ID_MAX];
@@ -81,8 +82,15 @@
 
 	/* the worker */
 	uint64_t session, seq, token;
+	uint64_t inc_token; /* it began anew: older tokens are those of copies from before; 0: never */
+	bool restarted;	    /* it began anew, and awaits a new token */
+	bool hears;	    /* it has shown that answers or commands reach it in this session */
+	int unproven;	    /* reports that did not count since one last did */
+	int unheeded;	    /* reports in a row that ignore a start */
+	double deaf_since;  /* steady; when `hears` was lost */
 	double last_beat; /* steady; < 0: none this term */
 	double last_word; /* any message this term; < 0: none */
+	double up_at;	  /* its first message this term */
 	double asked_at;
 	double notice_s;
 	double notice_heard; /* when notice_s was said */
@@ -94,6 +102,7 @@
 
 	/* the cloud */
 	bool listed;
+	bool expected; /* rented or listed: it stands for room even before it reports */
 	bool failed;
 	uint64_t list_round; /* the newest list that named it */
 	int missing;	     /* lists in a row without it */
@@ -214,6 +223,7 @@
 	uint64_t watched;  /* revision from which to watch */
 	bool known;
 	bool reading, watching, claiming;
+	uint64_t first_token; /* the term's first: who has seen it has heard this leader */
 	uint64_t token, term, lease;
 	double renewed; /* when the last renewal that succeeded was sent */
 	double next_renew;
@@ -305,6 +315,7 @@
 	struct tomb *tombs;
 	uint32_t rent_counter;
 	uint64_t list_round;
+	double asks, asks_filled; /* questions to workers that may be asked now */
 };
 
 /* core.c */
@@ -384,6 +395,7 @@
 struct machine *machine_get(struct core *c, const char *id);
 void machine_describe(struct core *c, struct machine *m, const char *addr, const char *type,
 		      const char *zone, bool spot);
+bool machine_buried(struct core *c, const char *id);
 void machine_gone(struct core *c, struct machine *m);
 void machine_tick(struct core *c);
 bool machine_fresh(const struct core *c, const struct machine *m);
@@ -402,7 +414,7 @@
 /* workers.c */
 void workers_beat(struct core *c, const struct core_request *r);
 void workers_kick(struct core *c, struct machine *m);
-void workers_ask(struct core *c, struct machine *m);
+bool workers_ask(struct core *c, struct machine *m);
 void workers_tick(struct core *c);
 void workers_fenced(struct core *c);
 
--- a/src/core/workers.c
+++ b/src/core/workers.c
@@ -7,6 +7,7 @@
  * nothing is then forgotten on that machine, and absence proves nothing, until a new token fences
  * it off.
  */
+#include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -133,14 +134,70 @@
 	} while (again);
 }
 
+/*
+ * Late copies. A report may be a copy from seconds or minutes ago, of before a take-over, of a
+ * machine that is deleted. Whoever has seen this term's token was there in this term; within the
+ * term (session, sequence) orders what a machine says. A worker that has not seen it yet is
+ * answered, so that it will, and its words count from then on.
+ */
+static bool report_counts(const struct core *c, const struct machine *m, const struct report *r)
+{
+	return r->token >= c->el.first_token && r->token >= m->inc_token && !m->restarted;
+}
+
+static bool report_older(const struct machine *m, const struct report *r)
+{
+	return r->session < m->session || (r->session == m->session && r->seq <= m->seq);
+}
+
+/*
+ * One-way machines: reports arrive, answers and commands do not. Its lease runs out, its session
+ * rises while we answered all along, and starts are ignored. It gets no work until the answer to
+ * a question shows that it hears us.
+ */
+static void note_deaf(struct core *c, struct machine *m, const char *why)
+{
+	if (m->hears) {
+		log_info("machine_deaf", "machine=%s why=%s", m->id, why);
+		m->deaf_since = c->now;
+	}
+	m->hears = false;
+	m->unheeded = 0;
+}
+
+static void note_hears(struct core *c, struct machine *m)
+{
+	if (!m->hears)
+		round_wanted(c);
+	m->hears = true;
+	m->unheeded = m->unproven = 0;
+}
+
+/* A start that went with the answer to an earlier report is not on this one. */
+static void look_heeded(struct core *c, struct machine *m)
+{
+	const struct binding *b;
+	bool ignored = false;
+
+	DL_FOREACH2 (m->bindings, b, mnext)
+		ignored |= b->beat_seq && !b->seen && b->listed_at != m->seq;
+	if (!ignored)
+		m->unheeded = 0;
+	else if (++m->unheeded >= MACHINE_UNHEEDED)
+		note_deaf(c, m, "starts_ignored");
+}
+
 /* False if older than what is known: it says nothing new. */
 static bool take_report(struct core *c, struct machine *m, const struct report *r, bool beat)
 {
 	bool first = m->last_word < 0;
 
-	machine_describe(c, m, r->addr, r->type, r->zone, r->spot);
-	if (r->session < m->session || (r->session == m->session && r->seq <= m->seq))
+	if (report_older(m, r))
 		return false;
+	if (beat && m->session && r->session > m->session)
+		note_deaf(c, m, "lease_ran_out");
+	else if (!beat || first)
+		note_hears(c, m);
 	m->session = r->session;
 	m->seq = r->seq;
 	if (r->token > m->token)
@@ -149,7 +206,7 @@
 	if (beat)
 		m->last_beat = c->now;
 	if (first) {
-		m->idle_since = c->now;
+		m->idle_since = m->up_at = c->now;
 		log_info("machine_up", "machine=%s type=%s zone=%s spot=%d after=%.1f", m->id,
 			 m->type_name, m->zone, m->spot, c->now - m->rented_at);
 		round_wanted(c);
@@ -160,9 +217,62 @@
 	m->notice_s = r->notice_s;
 	m->notice_heard = c->now;
 	take_list(c, m, r, beat);
+	if (beat)
+		look_heeded(c, m);
+	if (!m->hears)
+		workers_ask(c, m);
 	return true;
 }
 
+/*
+ * A machine back within a fraction of a second begins its session and sequence anew: its reports
+ * look older than what is known, as copies do. The answer to a question asked now is no copy: if
+ * it too looks older than what was known when asked, the machine began anew. All that ran there is
+ * gone; but a start from before may still be under way, so a new token is taken, and nothing the
+ * machine or a copy says under an older one counts.
+ */
+static void machine_restarted(struct core *c, struct machine *m)
+{
+	if (m->restarted)
+		return;
+	log_info("machine_restarted", "machine=%s session=%llu seq=%llu bound=%d", m->id,
+		 (unsigned long long)m->session, (unsigned long long)m->seq, m->nbindings);
+	m->restarted = true;
+	m->hears = false;
+	m->deaf_since = c->now;
+	c->fence_wanted = true;
+}
+
+static void machine_anew(struct core *c, struct machine *m)
+{
+	struct binding *b;
+
+	m->restarted = false;
+	m->inc_token = c->el.token;
+	m->session = m->seq = m->token = 0;
+	m->last_word = m->last_beat = -1;
+	m->rented_at = c->now;
+	free(m->left);
+	m->left = NULL;
+	m->nleft = 0;
+	/* Their ends are proved by a report under the new token that lacks them. */
+	DL_FOREACH2 (m->bindings, b, mnext) {
+		b->loaded = true;
+		b->seen = false;
+		b->sent_session = b->beat_seq = b->listed_at = 0;
+		b->floor_token = c->el.token;
+	}
+}
+
+void workers_fenced(struct core *c)
+{
+	struct machine *m, *tmp;
+
+	HASH_ITER (hh, c->machines, m, tmp)
+		if (m->restarted)
+			machine_anew(c, m);
+}
+
 /* --- commands --- */
 
 struct command_list {
@@ -255,11 +365,34 @@
 	core_reply(c, conn, 421, 0, wire_misdirected(leader));
 }
 
+/* True if the report is news of its machine, which then may get commands with the answer. */
+static bool beat_counts(struct core *c, const struct report *r)
+{
+	struct machine *m = machine_find(c, r->machine);
+
+	/* Deleted in this term: a copy must not bring it back to life. */
+	if (!m && machine_buried(c, r->machine))
+		return false;
+	if (!m)
+		m = machine_get(c, r->machine);
+	machine_describe(c, m, r->addr, r->type, r->zone, r->spot);
+	if (!report_counts(c, m, r)) {
+		/* A new machine is asked at once; others show the token by their next report. */
+		if ((!r->token || m->unproven++) && c->now - m->asked_at > MACHINE_ASK_S)
+			workers_ask(c, m);
+		return false;
+	}
+	if (!report_older(m, r))
+		return take_report(c, m, r, true);
+	if (c->now - m->asked_at > MACHINE_ASK_S)
+		workers_ask(c, m);
+	return false;
+}
+
 void workers_beat(struct core *c, const struct core_request *r)
 {
 	struct command_list l;
 	struct report rep;
-	struct machine *m;
 
 	if (c->el.role == ROLE_FOLLOW) {
 		misdirect(c, r->conn);
@@ -281,25 +414,35 @@
 		core_reply_error(c, r->conn, 503, 0, "not leading");
 		return;
 	}
-	m = machine_get(c, rep.machine);
-	take_report(c, m, &rep, true);
+	if (beat_counts(c, &rep)) {
+		gather(c, machine_find(c, rep.machine), &l, true);
+		core_reply(c, r->conn, 200, 0, wire_beat_answer(c->el.token, l.items, l.n));
+	} else {
+		core_reply(c, r->conn, 200, 0, wire_beat_answer(c->el.token, NULL, 0));
+	}
 	wire_report_free(&rep);
-	gather(c, m, &l, true);
-	core_reply(c, r->conn, 200, 0, wire_beat_answer(c->el.token, l.items, l.n));
 }
 
 /* --- direct commands --- */
 
-static void take_answer(struct core *c, const char *body, size_t len)
+static void take_answer(struct core *c, const struct call *call, const char *body, size_t len)
 {
 	struct report rep;
 	struct machine *m;
+	bool same;
 
 	if (wire_report_decode(body, len, &rep))
 		return;
 	m = machine_find(c, rep.machine);
-	if (m)
-		take_report(c, m, &rep, false);
+	same = m && !strcmp(m->id, call->key);
+	if (same && !m->restarted && m->inc_token <= call->token) {
+		machine_describe(c, m, rep.addr, rep.type, rep.zone, rep.spot);
+		if (rep.session < call->session ||
+		    (rep.session == call->session && rep.seq <= call->seq))
+			machine_restarted(c, m);
+		else
+			take_report(c, m, &rep, false);
+	}
 	wire_report_free(&rep);
 }
 
@@ -319,21 +462,38 @@
 		log_debug("do_unanswered", "machine=%s", m->id);
 	}
 	if (status == 200 || status == 409)
-		take_answer(c, body, len);
+		take_answer(c, call, body, len);
 }
 
 static void on_show(struct core *c, struct call *call, int status, const char *body, size_t len)
 {
 	if (!election_stale(c, call) && status == 200)
-		take_answer(c, body, len);
+		take_answer(c, call, body, len);
 }
 
-void workers_ask(struct core *c, struct machine *m)
+/* What is known when a question leaves: the answer must be newer. */
+static void call_mark(struct core *c, struct call *call, const struct machine *m)
 {
-	if (!*m->addr)
-		return;
+	snprintf(call->key, sizeof(call->key), "%s", m->id);
+	call->token = c->el.token;
+	call->session = m->session;
+	call->seq = m->seq;
+}
+
+/* Asks the worker for its report; false if too many were asked of late. */
+bool workers_ask(struct core *c, struct machine *m)
+{
+	c->asks = fmin(ASKS_PER_S, c->asks + (c->now - c->asks_filled) * ASKS_PER_S);
+	c->asks_filled = c->now;
+	if (!*m->addr || c->asks < 1 || c->now - m->asked_at < MACHINE_ASK_S)
+		return false;
+	c->asks -= 1;
 	m->asked_at = c->now;
-	core_call(c, m->addr, "GET", fmt_path(W_PATH_STATUS), NULL, CALL_WORKER_S, on_show, NULL);
+	call_mark(c,
+		  core_call(c, m->addr, "GET", fmt_path(W_PATH_STATUS), NULL, CALL_WORKER_S,
+			    on_show, NULL),
+		  m);
+	return true;
 }
 
 void workers_kick(struct core *c, struct machine *m)
@@ -354,9 +514,8 @@
 	call = core_call(c, m->addr, "POST", fmt_path(W_PATH_COMMANDS),
 			 wire_direct_commands(c->el.token, m->session, l.items, l.n), CALL_WORKER_S,
 			 on_do, NULL);
-	snprintf(call->key, sizeof(call->key), "%s", m->id);
+	call_mark(c, call, m);
 	call->starts = l.starts;
-	call->token = c->el.token;
 }
 
 void workers_tick(struct core *c)
@@ -378,8 +537,3 @@
 			send_direct(c, m);
 	}
 }
-
-void workers_fenced(struct core *c)
-{
-	(void)c;
-}
