Scenarios for the users' added rules and troubles; stand-in keeps the state service's limits

The runner plays one-way and restarted machines, late copies, controllers that end at a step of an election, and checks that no job is unanswered for 75 s, that half of each class, team and size is served, and that the largest begin within four minutes; rule_unserved shows that these can fail. Found by them and mended: a machine whose first word is the answer to a question, or that began anew, was given up at once, since its silence was counted from the leader's first moment.

--- a/src/core/machines.c
+++ b/src/core/machines.c
@@ -1,4 +1,5 @@
 /* The machines: what the cloud's list, the records and the workers say of them. */
+#include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -143,7 +144,7 @@
 
 static bool silent_too_long(const struct core *c, const struct machine *m)
 {
-	double since = m->last_beat >= 0 ? m->last_beat : m->last_word >= 0 ? m->up_at : c->lead_since;
+	double since = m->last_beat >= 0 ? m->last_beat : fmax(m->up_at, c->lead_since);
 	double most = c->conf->lease_s * (1 + CLOCK_DRIFT) + MACHINE_DEAD_MARGIN_S;
 
 	if (m->last_word < 0 && !m->bindings)
--- a/src/core/workers.c
+++ b/src/core/workers.c
@@ -251,7 +251,7 @@
 	m->inc_token = c->el.token;
 	m->session = m->seq = m->token = 0;
 	m->last_word = m->last_beat = -1;
-	m->rented_at = c->now;
+	m->rented_at = m->up_at = c->now;
 	free(m->left);
 	m->left = NULL;
 	m->nleft = 0;
--- a/tests/runner.c
+++ b/tests/runner.c
@@ -52,6 +52,7 @@
 	int a, b;
 	double until;
 	bool hold;
+	bool oneway; /* only what goes from a to b */
 	struct cut *next;
 };
 
@@ -73,6 +74,12 @@
 	double now;
 	double state_up_at;
 	double loss, repeat; /* shares of messages */
+	double copies;	     /* share of reports of which a late copy comes */
+	double copies_after; /* seconds, at most */
+	double quiet_since;  /* when the last trouble ends */
+	char crash_step[16]; /* the step of an election at which a controller ends */
+	int crash_left;
+	double crash_back;
 	unsigned short rand48[3];
 	struct msg *queue;
 	uint64_t order;
@@ -105,10 +112,11 @@
 static bool cut_now(struct world *w, int a, int b, double *until, bool *hold)
 {
 	for (struct cut *c = w->cuts; c; c = c->next) {
+		bool there = c->b == b && (c->a < 0 || c->a == a);
 		bool ab = (c->a == a && (c->b == b || c->b < 0)) ||
 			  (c->a == b && (c->b == a || c->b < 0));
 
-		if (ab && w->now < c->until) {
+		if ((c->oneway ? there : ab) && w->now < c->until) {
 			*until = c->until;
 			*hold = c->hold;
 			return true;
@@ -232,11 +240,31 @@
 	free(h);
 }
 
+#define COPY_SEQ 0x3ffffffe /* names no report: the answer to a copy goes nowhere */
+
+/* Late copies, to any controller, also of reports that a dead machine once sent. */
+static void report_copies(struct world *w, int machine, const char *body)
+{
+	for (int i = 0; i < w->nnodes; i++) {
+		struct msg *m;
+
+		if (erand48(w->rand48) >= w->copies)
+			continue;
+		m = msg_new(w, MSG_REPORT, HOST_WORKERS + machine, i,
+			    w->now + 0.5 + erand48(w->rand48) * w->copies_after);
+		m->seq = COPY_SEQ;
+		m->body = strdup(body);
+	}
+}
+
 static void si_report(void *ctx, int machine, int node, const char *body)
 {
 	struct world *w = ctx;
+
 	struct msg *m = msg_new(w, MSG_REPORT, HOST_WORKERS + machine, node, later(w));
 
+	report_copies(w, machine, body);
+
 	m->session = w->si.machines[machine].session;
 	m->seq = w->si.machines[machine].seq;
 	m->body = strdup(body);
@@ -303,6 +331,23 @@
 	}
 }
 
+static void node_crash(struct world *w, int i, double back_s);
+
+/* A controller ends at a step of its election: its words so far are on the way, or were lost. */
+static void crash_at_step(struct world *w, int i)
+{
+	const struct election *e = w->nodes[i].up ? &w->nodes[i].core->el : NULL;
+
+	if (!e || w->crash_left <= 0)
+		return;
+	if ((!strcmp(w->crash_step, "lease") && e->claiming && e->lease) ||
+	    (!strcmp(w->crash_step, "loading") && e->role == ROLE_LOADING) ||
+	    (!strcmp(w->crash_step, "lead") && e->role == ROLE_LEAD)) {
+		w->crash_left--;
+		node_crash(w, i, w->crash_back);
+	}
+}
+
 static void deliver(struct world *w, struct msg *m)
 {
 	struct node *n = m->to < SI_NODES ? &w->nodes[m->to] : NULL;
@@ -344,6 +389,8 @@
 	}
 	if (n && n->up)
 		drain(w, m->to);
+	if (n)
+		crash_at_step(w, m->to);
 }
 
 static void hold_message(struct world *w, struct msg *m, double at)
@@ -571,6 +618,7 @@
 	s->spread = (int)num(x, "spread", 0);
 	s->spot = (int)num(x, "spot", 0);
 	j->run_s = s->estimate_s;
+	j->accepted_at = j->answered_at = j->began_at = -1;
 	j->bad = num(x, "bad", 0) > 0;
 	j->done = calloc(1, s->ntasks / 8 + 1);
 	HASH_ADD_STR(w->si.jobs, spec.id, j);
@@ -692,13 +740,49 @@
 			cut_add(w, a, HOST_WORKERS + i, until, hold);
 		return;
 	}
+	if (!strcmp(x->w[2], "peers")) {
+		int a = host_word(w, x->w[1]);
+
+		for (int i = 0; i < w->nnodes; i++)
+			if (i != a)
+				cut_add(w, a, i, until, hold);
+		return;
+	}
 	cut_add(w, host_word(w, x->w[1]), host_word(w, x->w[2]), until, hold);
 }
 
+/* oneway K for=S: machine K's reports arrive, answers and commands do not reach it */
+static void do_oneway(struct world *w, const struct words *x)
+{
+	cut_add(w, -1, HOST_WORKERS + atoi(x->w[1]), w->now + num(x, "for", 10), false);
+	w->cuts->oneway = true;
+}
+
+static void do_machine_fault(struct world *w, const struct words *x)
+{
+	struct si_machine *m = &w->si.machines[atoi(x->w[1])];
+	const char *what = x->w[0];
+
+	if (!strcmp(what, "kill"))
+		si_machine_off(&w->si, m, false);
+	else if (!strcmp(what, "take"))
+		si_machine_off(&w->si, m, true);
+	else if (!strcmp(what, "restart"))
+		si_machine_restart(&w->si, m);
+	else if (!strcmp(what, "notice"))
+		m->notice_until = w->now + num(x, "for", 8), m->changed = true;
+	else if (!strcmp(what, "hang"))
+		m->hanging = num(x, "end", 0) == 0;
+	else
+		fail(w, "unknown line: %s", what);
+}
+
 static void do_fault(struct world *w, const struct words *x)
 {
 	const char *what = x->w[0];
-	struct si_machine *m;
+
+	w->quiet_since =
+	    fmax(w->quiet_since, w->now + fmax(num(x, "for", 0), num(x, "back", 3)));
 
 	if (!strcmp(what, "crash")) {
 		if (!strcmp(x->w[1], "all"))
@@ -719,18 +803,19 @@
 		w->loss = atof(x->w[1]);
 	} else if (!strcmp(what, "repeat")) {
 		w->repeat = atof(x->w[1]);
+	} else if (!strcmp(what, "copies")) {
+		w->copies = atof(x->w[1]);
+		w->copies_after = num(x, "after", 30);
+	} else if (!strcmp(what, "crashon")) {
+		snprintf(w->crash_step, sizeof(w->crash_step), "%s", x->w[1]);
+		w->crash_left = (int)num(x, "times", 1);
+		w->crash_back = num(x, "back", 3);
+	} else if (!strcmp(what, "quiet")) {
+		w->quiet_since = w->now; /* as if what lasts were no trouble: for the checks' own tests */
+	} else if (!strcmp(what, "oneway")) {
+		do_oneway(w, x);
 	} else {
-		m = &w->si.machines[atoi(x->w[1])];
-		if (!strcmp(what, "kill"))
-			si_machine_off(&w->si, m, false);
-		else if (!strcmp(what, "take"))
-			si_machine_off(&w->si, m, true);
-		else if (!strcmp(what, "notice"))
-			m->notice_until = w->now + num(x, "for", 8), m->changed = true;
-		else if (!strcmp(what, "hang"))
-			m->hanging = num(x, "end", 0) == 0;
-		else
-			fail(w, "unknown line: %s", what);
+		do_machine_fault(w, x);
 	}
 }
 
@@ -814,6 +899,10 @@
 		return j ? (double)j->starts : -1;
 	if (!strcmp(what, "answers"))
 		return w->answers[atoi(arg)];
+	if (!strcmp(what, "state"))
+		return !strcmp(arg, "puts")	  ? (double)w->si.state.puts
+		       : !strcmp(arg, "requests") ? (double)w->si.state.requests
+						  : (double)w->si.state.refused;
 	if (!strcmp(what, "leaders")) {
 		for (int i = 0; i < w->nnodes; i++)
 			n += w->nodes[i].up && w->nodes[i].core->el.role == ROLE_LEAD;
@@ -880,6 +969,7 @@
 		}
 		if (floor(w->now) != floor(w->now - STEP_S))
 			users_step(w);
+		si_check_answers(&w->si, w->quiet_since);
 	}
 }
 
@@ -889,6 +979,8 @@
 	w->conf.lease_s = num(x, "lease", w->conf.lease_s);
 	w->conf.cancel_s = num(x, "cancel", w->conf.cancel_s);
 	w->conf.txn_ops = (int)num(x, "txn_ops", w->conf.txn_ops);
+	w->conf.state_rps = num(x, "rps", w->conf.state_rps);
+	w->conf.state_write_rps = num(x, "write_rps", w->conf.state_write_rps);
 	w->si.state.txn_ops = w->conf.txn_ops;
 }
 
@@ -1014,6 +1106,7 @@
 /* Rules broken that the scenario did not ask for. */
 static void check_rules(struct world *w, const char *expected)
 {
+	si_check_served(&w->si);
 	if (!w->si.starts_total)
 		si_broken(&w->si, RULE_NOTHING_RAN, "no start");
 	for (int r = 0; r < RULES; r++)
--- a/tests/smoke.c
+++ b/tests/smoke.c
@@ -321,6 +321,8 @@
 	s.conf.teams = &team;
 	s.conf.nteams = 1;
 	s.conf.txn_ops = 16;
+	s.conf.state_rps = 500;
+	s.conf.state_write_rps = 200;
 	s.conf.value_kb = 8;
 	s.conf.report_s = 1;
 	s.conf.lease_s = 10;
--- a/tests/standin.c
+++ b/tests/standin.c
@@ -11,7 +11,8 @@
 
 const char *const rule_names[RULES] = {"ran_twice",	"quota",     "wrong_place",
 				       "ran_cancelled", "forgotten", "invented",
-				       "not_done",	"went_back", "nothing_ran"};
+				       "not_done",	"went_back", "nothing_ran",
+				       "unserved",	"late_large"};
 
 static void *zalloc(size_t n)
 {
@@ -381,11 +382,48 @@
 	watches_run(s);
 }
 
+static void limits_refill(struct standin *s)
+{
+	struct si_state *st = &s->state;
+	double dt = s->now - st->filled;
+
+	st->filled = s->now;
+	st->request_room = fmin(s->conf->state_rps, st->request_room + dt * s->conf->state_rps);
+	st->put_room =
+	    fmin(s->conf->state_write_rps, st->put_room + dt * s->conf->state_write_rps);
+}
+
+/* Within the limits of requests, and of puts and deletes, a second? Counts what is taken. */
+static bool limits_take(struct standin *s, const char *path, const char *body)
+{
+	struct si_state *st = &s->state;
+	double puts = 0;
+
+	limits_refill(s);
+	if (!strcmp(path, W_PATH_TXN)) {
+		json_t *o = wire_parse(body, strlen(body));
+
+		puts = (double)json_array_size(json_object_get(o, W_THEN));
+		json_decref(o);
+	}
+	if (st->request_room < 1 || (puts > 0 && st->put_room < puts)) {
+		st->refused++;
+		return false;
+	}
+	st->request_room -= 1;
+	st->put_room -= puts;
+	st->requests++;
+	st->puts += (uint64_t)puts;
+	return true;
+}
+
 void si_state_request(struct standin *s, int node, uint64_t handle, const char *method,
 		      const char *path, const char *body)
 {
 	if (s->state.down || s->state.refuses[node]) {
 		answer_error(s, handle, 503, "trouble");
+	} else if (!limits_take(s, path, body)) {
+		answer_error(s, handle, 429, "limit");
 	} else if (!strcmp(path, W_PATH_TXN)) {
 		state_txn(s, handle, body);
 	} else if (!strncmp(path, W_PATH_LEASES, strlen(W_PATH_LEASES))) {
@@ -497,6 +535,8 @@
 					  s->machines[i].id, m->id);
 	if (j->told_cancelled && s->now > j->cancelled_at + s->conf->cancel_s)
 		si_broken(s, RULE_RAN_CANCELLED, "%s started", t->job);
+	if (j->began_at < 0 && ++j->starts_seen >= (j->spec.kind == JOB_GANG ? j->spec.ntasks : 1))
+		j->began_at = s->now;
 	j->starts++;
 	s->starts_total++;
 	check_place(s, m, j);
@@ -578,6 +618,16 @@
 	drop_tasks(m);
 }
 
+void si_machine_restart(struct standin *s, struct si_machine *m)
+{
+	drop_tasks(m);
+	m->session = 1;
+	m->seq = m->token = m->reported_token = 0;
+	m->report_out = false;
+	m->lease_from = s->now;
+	m->next_report = s->now + 0.2;
+}
+
 static json_t *report(struct standin *s, struct si_machine *m)
 {
 	json_t *tasks = json_array(), *o;
@@ -1023,9 +1073,10 @@
 {
 	struct si_job *j = si_job(s, id);
 
-	if (status == 200 || status == 201)
+	if ((status == 200 || status == 201) && !j->accepted) {
+		j->accepted_at = s->now;
 		j->accepted = true;
-	else if ((status == 400 || status == 422) && j->accepted)
+	} else if ((status == 400 || status == 422) && j->accepted)
 		si_broken(s, RULE_FORGOTTEN, "%s submitted again: %d", id, status);
 }
 
@@ -1059,11 +1110,94 @@
 		si_broken(s, RULE_INVENTED, "%s", id);
 		return;
 	}
+	j->answered_at = s->now;
 	o = wire_parse(body, strlen(body));
 	told(s, j, json_string_value(json_object_get(o, W_STATE)));
 	json_decref(o);
 }
 
+#define FORGOTTEN_S 75.0 /* seconds without an answer once troubles are over, from the users' rules */
+#define LARGEST_S 240.0	 /* seconds within which the largest must begin */
+
+void si_check_answers(struct standin *s, double quiet_since)
+{
+	struct si_job *j, *tmp;
+
+	HASH_ITER (hh, s->jobs, j, tmp) {
+		double since = fmax(quiet_since, fmax(j->accepted_at, j->answered_at));
+
+		if (j->accepted && s->now - since > FORGOTTEN_S)
+			si_broken(s, RULE_FORGOTTEN, "%s unanswered for %.0f s", j->spec.id,
+				  s->now - since);
+	}
+}
+
+/* The jobs of a class, a team, or of a class's largest size. */
+enum group { BY_CLASS, BY_TEAM, BY_LARGEST };
+
+static bool counts(const struct si_job *j)
+{
+	return j->accepted && !j->cancel_asked && !j->bad;
+}
+
+static uint32_t largest(struct standin *s, const struct si_job *of)
+{
+	struct si_job *j, *tmp;
+	uint32_t n = 0;
+
+	HASH_ITER (hh, s->jobs, j, tmp)
+		if (counts(j) && !strcmp(j->spec.class_name, of->spec.class_name) &&
+		    j->spec.ntasks > n)
+			n = j->spec.ntasks;
+	return n;
+}
+
+static bool same_group(const struct si_job *a, const struct si_job *b, enum group g)
+{
+	if (g == BY_TEAM)
+		return !strcmp(a->spec.team, b->spec.team);
+	return !strcmp(a->spec.class_name, b->spec.class_name) &&
+	       (g == BY_CLASS || a->spec.ntasks == b->spec.ntasks);
+}
+
+static void check_group(struct standin *s, const struct si_job *of, enum group g)
+{
+	struct si_job *j, *tmp;
+	int all = 0, served = 0;
+
+	HASH_ITER (hh, s->jobs, j, tmp) {
+		if (!counts(j) || !same_group(of, j, g))
+			continue;
+		all++;
+		served += j->began_at >= 0;
+	}
+	if (2 * served < all)
+		si_broken(s, RULE_UNSERVED, "%d of %d like %s served (%s)", served, all, of->spec.id,
+			  g == BY_CLASS	 ? "class"
+			  : g == BY_TEAM ? "team"
+					 : "largest");
+}
+
+void si_check_served(struct standin *s)
+{
+	struct si_job *j, *tmp;
+
+	HASH_ITER (hh, s->jobs, j, tmp) {
+		bool large = counts(j) && j->spec.ntasks == largest(s, j);
+		double began = j->began_at >= 0 ? j->began_at : s->now;
+
+		if (!counts(j))
+			continue;
+		check_group(s, j, BY_CLASS);
+		check_group(s, j, BY_TEAM);
+		if (large)
+			check_group(s, j, BY_LARGEST);
+		if (large && began - j->accepted_at > LARGEST_S)
+			si_broken(s, RULE_LATE_LARGE, "%s began after %.0f s", j->spec.id,
+				  began - j->accepted_at);
+	}
+}
+
 void si_told_cancel(struct standin *s, const char *id, int status, const char *body)
 {
 	if (status == 200)
--- a/tests/standin.h
+++ b/tests/standin.h
@@ -37,6 +37,8 @@
 	RULE_NOT_DONE,
 	RULE_WENT_BACK,
 	RULE_NOTHING_RAN,
+	RULE_UNSERVED,
+	RULE_LATE_LARGE,
 	RULES
 };
 
@@ -50,8 +52,9 @@
 	bool bad; /* submitted with a mistake: fails everywhere */
 	bool asked, accepted, cancel_asked, told_cancelled, told_done;
 	double cancelled_at, progress;
+	double accepted_at, answered_at, began_at; /* < 0: not yet */
 	uint8_t *done;
-	uint32_t ndone, starts;
+	uint32_t ndone, starts, starts_seen;
 	UT_hash_handle hh;
 };
 
@@ -96,6 +99,8 @@
 	bool refuses[SI_NODES];
 	int txn_ops;
 	size_t value_bytes;
+	double request_room, put_room, filled; /* what the limits still allow, one second's burst */
+	uint64_t requests, puts, refused;
 };
 
 /* --- machines --- */
@@ -178,6 +183,8 @@
 void si_worker_answer(struct standin *s, int machine, uint64_t session, uint64_t seq, int status,
 		      const char *body);
 void si_machine_off(struct standin *s, struct si_machine *m, bool deleted);
+/* Back at once under its name, all forgotten. */
+void si_machine_restart(struct standin *s, struct si_machine *m);
 void si_tick(struct standin *s, double now);
 
 void si_broken(struct standin *s, enum rule r, const char *fmt, ...)
@@ -186,6 +193,9 @@
 void si_told_submit(struct standin *s, const char *id, int status);
 void si_told_state(struct standin *s, const char *id, int status, const char *body);
 void si_told_cancel(struct standin *s, const char *id, int status, const char *body);
+/* Rules about whole days; troubles ended at `quiet_since`, the day does so now. */
+void si_check_answers(struct standin *s, double quiet_since);
+void si_check_served(struct standin *s);
 void si_force_start(struct standin *s, struct si_machine *m, const char *job, uint32_t task);
 
 #endif
