--- a/tests/runner.c
+++ b/tests/runner.c
@@ -19,6 +19,7 @@
 #define STEP_S 0.05
 #define LATENCY_S 0.004
 #define WORDS 24
+#define SI_CAPTURES 8
 
 /* hosts: controllers 0.., then these */
 enum { HOST_STATE = 100, HOST_CLOUD, HOST_USERS, HOST_WORKERS = 1000 };
@@ -76,6 +77,7 @@
 	double loss, repeat; /* shares of messages */
 	double copies;	     /* share of reports of which a late copy comes */
 	double copies_after; /* seconds, at most */
+	char *captured[SI_CAPTURES]; /* a machine's report, to be told again */
 	double quiet_since;  /* when the last trouble ends */
 	char crash_step[16]; /* the step of an election at which a controller ends */
 	int crash_left;
@@ -751,6 +753,26 @@
 	cut_add(w, host_word(w, x->w[1]), host_word(w, x->w[2]), until, hold);
 }
 
+/* capture K: keeps the newest report of machine K; replay K: it comes once more, to the leader */
+static void do_capture(struct world *w, const struct words *x)
+{
+	int k = atoi(x->w[1]) % SI_CAPTURES, to = leader_index(w);
+	struct msg *m;
+
+	if (!strcmp(x->w[0], "capture")) {
+		free(w->captured[k]);
+		w->captured[k] = strdup(w->si.machines[k].report_text);
+		return;
+	}
+	if (to < 0 || !w->captured[k]) {
+		fail(w, "nothing to replay: %s", x->w[1]);
+		return;
+	}
+	m = msg_new(w, MSG_REPORT, HOST_WORKERS + k, to, w->now);
+	m->seq = COPY_SEQ;
+	m->body = strdup(w->captured[k]);
+}
+
 /* oneway K for=S: machine K's reports arrive, answers and commands do not reach it */
 static void do_oneway(struct world *w, const struct words *x)
 {
@@ -812,6 +834,8 @@
 		w->crash_back = num(x, "back", 3);
 	} else if (!strcmp(what, "quiet")) {
 		w->quiet_since = w->now; /* as if what lasts were no trouble: for the checks' own tests */
+	} else if (!strcmp(what, "capture") || !strcmp(what, "replay")) {
+		do_capture(w, x);
 	} else if (!strcmp(what, "oneway")) {
 		do_oneway(w, x);
 	} else {
@@ -1097,6 +1121,8 @@
 	}
 	DL_FOREACH_SAFE (w->users, u, tmp)
 		free(u);
+	for (int i = 0; i < SI_CAPTURES; i++)
+		free(w->captured[i]);
 	for (struct si_watch *x = w->si.state.watches; x; x = x->next)
 		free((void *)(uintptr_t)x->handle);
 	si_free(&w->si);
--- a/tests/standin.c
+++ b/tests/standin.c
@@ -943,7 +943,8 @@
 	m->report_seq = m->seq;
 	m->report_session = m->session;
 	s->ops->report(s->ctx, (int)(m - s->machines), m->node, text);
-	free(text);
+	free(m->report_text);
+	m->report_text = text;
 }
 
 static void worker_tick(struct standin *s, struct si_machine *m, double dt)
@@ -1242,8 +1243,10 @@
 	for (size_t i = 0; i < s->state.nchanges; i++)
 		json_decref(s->state.changes[i].value);
 	free(s->state.changes);
-	for (int i = 0; i < s->nmachines; i++)
+	for (int i = 0; i < s->nmachines; i++) {
 		drop_tasks(&s->machines[i]);
+		free(s->machines[i].report_text);
+	}
 	free(s->machines);
 	for (size_t i = 0; i < s->cloud.nrequests; i++)
 		free(s->cloud.requests[i].answer);
--- a/tests/standin.h
+++ b/tests/standin.h
@@ -132,6 +132,7 @@
 	bool report_out, changed;
 	struct si_task *tasks;
 	int starts;
+	char *report_text; /* the newest */
 };
 
 struct si_cloud {
