Polls share one read of changes; requests handed on and counts shown over the back link

Cause: a controller that the state service refuses alone answered 503 for its whole trouble, and each poll cost one or two reads. Now one read, sent after the polls came, tells of all that wait; what this controller can't serve is handed to another once; followers show the leader's counts; /ready is no only for a controller that hears neither the state service nor the others. A controller whose lease came after another had taken the key no longer puts that one down.

--- a/src/constants.h
+++ b/src/constants.h
@@ -55,9 +55,21 @@
 #define CANCEL_MARGIN_S 2.0	 /* seconds off cancel_s: a late turn, and the way of messages */
 
 /* --- users --- */
-#define USER_QUEUE_MAX 400   /* waiting submissions: beyond it 429, they would wait seconds */
-#define USER_READS_MAX 300   /* reads under way for users: beyond it 429 */
-#define USER_WAIT_S 3.5	     /* seconds: a user gives up at 5, the answer has to travel */
+#define USER_QUEUE_MAX 400 /* waiting submissions: beyond it 429, they would wait seconds */
+#define USER_READS_MAX 300 /* reads under way for users: beyond it 429 */
+#define USER_WAIT_S 3.5	   /* seconds: a user gives up at 5, the answer has to travel */
+#define ASK_GATHER_S 0.05  /* seconds between reads of changes: questions gather meanwhile */
+#define ASK_AGAIN_S 0.2	   /* seconds before a read that was refused is tried again */
+#define ASK_WAIT_S 1.0	   /* seconds a question waits for that: a poll is given up at 2 */
+#define COUNTS_EVERY_S 2.0 /* seconds between questions for counts: what is shown may lag by 3 */
+#define COUNTS_KEEP_S 6.0  /* seconds the leader's counts are shown */
+#define COUNTS_ASKED_S                                                                             \
+	10.0 /* seconds after a poll during which they are asked for: polls come every 5 */
+#define PEER_PING_S                                                                                \
+	1.0		 /* seconds between questions to others while the state service is silent  \
+			  */
+#define PEER_ALONE_S 4.0 /* seconds without state service and peers before /ready says so */
+#define PEER_BACKOFF_S 2.0   /* seconds nothing is handed to a peer that could not serve either */
 #define RETRY_AFTER_S 1	     /* seconds: the least a user waits anyway */
 #define RETRY_AFTER_BUSY_S 2 /* seconds: a full queue drains in about this time */
 #define FINAL_CACHE_MAX 4096 /* final states kept: about 0.5 MB; the oldest go first */
@@ -86,13 +98,13 @@
 /* --- machines --- */
 #define MACHINE_FRESH_REPORTS 2.5 /* reports missed before a machine gets no new tasks */
 #define MACHINE_DEAD_MARGIN_S                                                                      \
-	1.0		   /* seconds beyond the worker's lease: its tasks are lost anyway         \
-			    */
-#define MACHINE_ASK_S 1.0	 /* seconds between questions to one machine */
-#define ASKS_PER_S 40.0	 /* questions a second to all: each costs as much as a report */
-#define MACHINE_UNHEEDED 2	 /* reports in a row that ignore a start: one answer may be lost */
-#define MACHINE_DEAF_S 60.0	 /* seconds a machine that does not hear us is kept */
-#define MACHINE_SHOW_S 3.0 /* seconds between questions to a machine not heard of this term */
+	1.0		    /* seconds beyond the worker's lease: its tasks are lost anyway        \
+			     */
+#define MACHINE_ASK_S 1.0   /* seconds between questions to one machine */
+#define ASKS_PER_S 40.0	    /* questions a second to all: each costs as much as a report */
+#define MACHINE_UNHEEDED 2  /* reports in a row that ignore a start: one answer may be lost */
+#define MACHINE_DEAF_S 60.0 /* seconds a machine that does not hear us is kept */
+#define MACHINE_SHOW_S 3.0  /* seconds between questions to a machine not heard of this term */
 #define MACHINE_BOOT_FACTOR                                                                        \
 	3.0 /* times the boot time before a machine counts as never coming up                      \
 	     */
@@ -150,15 +162,15 @@
 #define RENT_ESTIMATE_FACTOR 1.5 /* times the estimate: owners are often wrong by half */
 #define RENT_LEAD_S 60.0	 /* seconds to rent, boot and fetch before a task can start */
 #define RENT_JITTER 0.02	 /* share: equal offers are spread over zones */
-#define TOMBS_MAX 8192		 /* deleted machines remembered in a term: lists lag, copies come late */
-#define NOTICE_MARGIN_S 2.0	 /* seconds beyond the save: the stop has to arrive */
-#define RENT_REFUSED_S 10.0	 /* seconds before a refused type, zone and kind is asked again */
-#define RENT_REFUSED_MAX_S 40.0	 /* seconds: capacity may come back any time */
-#define RENT_BATCH_MAX 50	 /* machines per request, from the protocol */
-#define RENT_TASKS_MAX 400	 /* waiting tasks looked at per round */
-#define DELETE_BATCH_MAX 100	 /* names per request, from the protocol */
-#define CLOUD_BACKOFF_S 1.5	 /* seconds after 429, 503 or no answer */
-#define CATALOG_EVERY_S 60.0	 /* seconds between reads of prices by the leader */
+#define TOMBS_MAX 8192	    /* deleted machines remembered in a term: lists lag, copies come late */
+#define NOTICE_MARGIN_S 2.0 /* seconds beyond the save: the stop has to arrive */
+#define RENT_REFUSED_S 10.0 /* seconds before a refused type, zone and kind is asked again */
+#define RENT_REFUSED_MAX_S 40.0 /* seconds: capacity may come back any time */
+#define RENT_BATCH_MAX 50	/* machines per request, from the protocol */
+#define RENT_TASKS_MAX 400	/* waiting tasks looked at per round */
+#define DELETE_BATCH_MAX 100	/* names per request, from the protocol */
+#define CLOUD_BACKOFF_S 1.5	/* seconds after 429, 503 or no answer */
+#define CATALOG_EVERY_S 60.0	/* seconds between reads of prices by the leader */
 #define IDLE_THRIFTY_S                                                                             \
 	40.0 /* seconds idle before return where money counts: a boot costs as much */
 #define IDLE_LAVISH_S 3600.0  /* seconds where it does not */
--- a/src/core/core.c
+++ b/src/core/core.c
@@ -25,6 +25,11 @@
 	c->teams = calloc(conf->nteams + 1, sizeof(*c->teams));
 	if (!c->teams)
 		abort();
+	c->peers = calloc(conf->npeers + 1, sizeof(*c->peers));
+	if (!c->peers)
+		abort();
+	c->state_heard = c->now;
+	c->counts_at = c->counts_wanted = c->now - COUNTS_ASKED_S;
 	c->peer_live = calloc(conf->npeers + 1, sizeof(*c->peer_live));
 	if (!c->peer_live)
 		abort();
@@ -90,11 +95,14 @@
 void core_reply(struct core *c, uint64_t conn, int status, int retry_after, char *body)
 {
 	struct core_action *a = action_add(c, ACT_ANSWER, conn);
+	size_t len = body ? strlen(body) : 0;
 
+	if (peers_wrap(c, conn, &status, retry_after, &body, &len))
+		retry_after = 0;
 	a->status = status;
 	a->retry_after = retry_after;
 	a->body = body;
-	a->len = body ? strlen(body) : 0;
+	a->len = len;
 }
 
 void core_reply_error(struct core *c, uint64_t conn, int status, int retry_after, const char *why)
@@ -119,6 +127,8 @@
 			workers_beat(c, r);
 	} else if (r->side == CORE_BACK && !strcmp(r->path, PAIR_PATH)) {
 		pair_request(c, r);
+	} else if (r->side == CORE_BACK) {
+		peers_request(c, r);
 	} else {
 		users_request(c, r);
 	}
@@ -145,6 +155,7 @@
 	election_tick(c);
 	catalog_tick(c);
 	users_tick(c);
+	peers_tick(c);
 	if (c->el.role != ROLE_LEAD)
 		return;
 	load_tick(c);
@@ -191,6 +202,7 @@
 
 	leader_clear(c);
 	users_clear(c);
+	peers_clear(c);
 	while ((a = core_take(c)))
 		core_action_free(a);
 	HASH_ITER (hh, c->calls, call, tmp) {
@@ -202,5 +214,6 @@
 	free(c->types);
 	free(c->teams);
 	free(c->peer_live);
+	free(c->peers);
 	free(c);
 }
--- a/src/core/election.c
+++ b/src/core/election.c
@@ -51,6 +51,15 @@
 	(void)len;
 }
 
+static void lease_return(struct core *c)
+{
+	if (c->el.lease)
+		core_call(c, c->conf->state, "DELETE",
+			  fmt_path(W_PATH_LEASES "/%llu", (unsigned long long)c->el.lease), NULL,
+			  CALL_STATE_S, on_nothing, NULL);
+	c->el.lease = 0;
+}
+
 /* Gives the lease back, so that another controller need not wait for its end. */
 void election_yield(struct core *c, const char *why)
 {
@@ -58,10 +67,8 @@
 
 	c->el.stand_back = c->now + LEADER_YIELD_S;
 	election_step_down(c, why);
-	if (lease)
-		core_call(c, c->conf->state, "DELETE",
-			  fmt_path(W_PATH_LEASES "/%llu", (unsigned long long)lease), NULL,
-			  CALL_STATE_S, on_nothing, NULL);
+	c->el.lease = lease;
+	lease_return(c);
 }
 
 /*
@@ -191,6 +198,12 @@
 	o = wire_parse(body, len);
 	c->el.lease = wire_lease(o);
 	json_decref(o);
+	/* Another took the key while the lease was asked for: it must not be put down again. */
+	if (*c->el.leader) {
+		c->el.claiming = false;
+		lease_return(c);
+		return;
+	}
 	c->el.renewed = call->sent;
 	c->el.next_renew = call->sent + LEADER_RENEW_S;
 	txn_begin(&t);
--- /dev/null
+++ b/src/core/peers.c
@@ -0,0 +1,301 @@
+/*
+ * What controllers ask each other beside pairing: how the tasks of open jobs stand, and requests
+ * of users that the state service does not let one controller serve. Each is a protobuf message in
+ * a request on the back link. A question is also a sign of life: who answers is there.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/state.h"
+#include "peer.pb-c.h"
+#include "util/log.h"
+#include "wire/names.h"
+
+/* --- counts of tasks --- */
+
+static void reply_packed(struct core *c, uint64_t conn, uint8_t *buf, size_t len)
+{
+	core_reply(c, conn, 200, 0, NULL);
+	c->actions->prev->body = (char *)buf;
+	c->actions->prev->len = len;
+}
+
+static void counts_reply(struct core *c, uint64_t conn)
+{
+	size_t n = HASH_COUNT(c->jobs), len;
+	Peer__Count *all = calloc(n + 1, sizeof(*all)), **list = calloc(n + 1, sizeof(*list));
+	Peer__Counts out = PEER__COUNTS__INIT;
+	struct job *j, *tmp;
+	uint8_t *buf;
+
+	if (!all || !list)
+		abort();
+	HASH_ITER (hh, c->jobs, j, tmp) {
+		Peer__Count *x = &all[out.n_counts];
+
+		if (j->ghost || (!j->ndone && !j->nrunning))
+			continue;
+		peer__count__init(x);
+		x->job = j->spec.id;
+		x->done = j->ndone;
+		x->running = j->nrunning;
+		list[out.n_counts++] = x;
+	}
+	out.token = c->el.token;
+	out.counts = list;
+	len = peer__counts__get_packed_size(&out);
+	buf = malloc(len + 1);
+	if (!buf)
+		abort();
+	peer__counts__pack(&out, buf);
+	reply_packed(c, conn, buf, len);
+	free(all);
+	free(list);
+}
+
+static void counts_take(struct core *c, const uint8_t *data, size_t len)
+{
+	Peer__Counts *in = peer__counts__unpack(NULL, len, data);
+	struct known *k, *tmp;
+
+	/* What a deposed leader still believes is no news. */
+	if (in && in->token >= c->counts_token) {
+		c->counts_token = in->token;
+		c->counts_at = c->now;
+		HASH_ITER (hh, c->known, k, tmp)
+			if (!k->final)
+				k->done = k->running = 0;
+		for (size_t i = 0; i < in->n_counts; i++) {
+			HASH_FIND_STR(c->known, in->counts[i]->job, k);
+			if (!k || k->final)
+				continue;
+			k->done = in->counts[i]->done;
+			k->running = in->counts[i]->running;
+		}
+	}
+	if (in)
+		peer__counts__free_unpacked(in, NULL);
+}
+
+static void on_counts(struct core *c, struct call *call, int status, const char *body, size_t len)
+{
+	size_t i = (size_t)(uintptr_t)call->arg;
+
+	c->counts_out = false;
+	if (status > 0)
+		c->peers[i].answered = c->now;
+	if (status == 200)
+		counts_take(c, (const uint8_t *)body, len);
+}
+
+/* The message is empty: its path says all. */
+static void counts_ask(struct core *c, size_t i)
+{
+	core_call(c, c->conf->peers[i].addr, "POST", fmt_path(COUNTS_PATH), strdup(""), CALL_PEER_S,
+		  on_counts, (void *)(uintptr_t)i);
+}
+
+static void counts_tick(struct core *c)
+{
+	if (c->el.role == ROLE_LEAD || c->counts_out || c->now < c->counts_next ||
+	    c->now - c->counts_wanted > COUNTS_ASKED_S)
+		return;
+	for (size_t i = 0; i < c->conf->npeers; i++) {
+		if (strcmp(c->conf->peers[i].name, c->el.leader))
+			continue;
+		c->counts_out = true;
+		c->counts_next = c->now + COUNTS_EVERY_S;
+		counts_ask(c, i);
+	}
+}
+
+/* --- requests handed on --- */
+
+struct handed {
+	uint64_t conn;
+	size_t peer;
+};
+
+static void on_forwarded(struct core *c, struct call *call, int status, const char *body,
+			 size_t len)
+{
+	struct handed *h = call->arg;
+	struct peer_view *p = &c->peers[h->peer];
+	Peer__Forwarded *in =
+	    status == 200 ? peer__forwarded__unpack(NULL, len, (const uint8_t *)body) : NULL;
+
+	if (status > 0)
+		p->answered = c->now;
+	/* It can't serve either, or is not there: the outage is everybody's for now. */
+	if (!in || in->status == 503)
+		p->no_forward = c->now + PEER_BACKOFF_S;
+	if (in)
+		core_reply(c, h->conn, (int)in->status, (int)in->retry_after,
+			   strndup((const char *)in->body.data, in->body.len));
+	else
+		core_reply_error(c, h->conn, 503, RETRY_AFTER_S, "state");
+	if (in)
+		peer__forwarded__free_unpacked(in, NULL);
+	free(h);
+}
+
+static void forward_to(struct core *c, size_t i, const struct user_req *u)
+{
+	Peer__Forward out = PEER__FORWARD__INIT;
+	struct handed *h = calloc(1, sizeof(*h));
+	char path[HTTP_PATH_MAX];
+	struct call *call;
+	uint8_t *buf;
+	size_t len;
+
+	if (u->kind == USER_SUBMIT)
+		snprintf(path, sizeof(path), W_PATH_JOBS);
+	else
+		snprintf(path, sizeof(path), W_PATH_JOBS "/%s%s", u->id,
+			 u->kind == USER_CANCEL ? W_PATH_CANCEL : "");
+	out.method = u->kind == USER_POLL ? "GET" : "POST";
+	out.path = path;
+	out.body.data = (uint8_t *)u->body;
+	out.body.len = u->body ? strlen(u->body) : 0;
+	len = peer__forward__get_packed_size(&out);
+	buf = malloc(len + 1);
+	if (!buf || !h)
+		abort();
+	peer__forward__pack(&out, buf);
+	h->conn = u->conn;
+	h->peer = i;
+	call = core_call(c, c->conf->peers[i].addr, "POST", fmt_path(FORWARD_PATH), (char *)buf,
+			 CALL_PEER_S, on_forwarded, h);
+	call->drop = free;
+	c->actions->prev->len = len;
+}
+
+/* Hands the request to a controller that the state service may serve; false if there is none. */
+bool forward_user(struct core *c, struct user_req *u)
+{
+	size_t best = c->conf->npeers;
+	struct wrapped *w;
+
+	HASH_FIND(hh, c->wrapped, &u->conn, sizeof(u->conn), w);
+	if (w)
+		return false; /* handed on once already */
+	for (size_t i = 0; i < c->conf->npeers; i++)
+		if (c->now >= c->peers[i].no_forward &&
+		    (best == c->conf->npeers || c->peers[i].answered > c->peers[best].answered))
+			best = i;
+	if (best == c->conf->npeers)
+		return false;
+	forward_to(c, best, u);
+	return true;
+}
+
+static void forward_take(struct core *c, const struct core_request *r)
+{
+	Peer__Forward *in = peer__forward__unpack(NULL, r->len, (const uint8_t *)r->body);
+	struct core_request q = {r->conn, CORE_BACK, NULL, NULL, NULL, 0};
+	struct wrapped *w;
+	char *body;
+
+	if (!in) {
+		core_reply_error(c, r->conn, 400, 0, "forward");
+		return;
+	}
+	w = calloc(1, sizeof(*w));
+	body = strndup((const char *)in->body.data, in->body.len);
+	if (!w || !body)
+		abort();
+	w->conn = r->conn;
+	HASH_ADD(hh, c->wrapped, conn, sizeof(w->conn), w);
+	q.method = in->method;
+	q.path = in->path;
+	q.body = body;
+	q.len = strlen(body);
+	users_request(c, &q);
+	free(body);
+	peer__forward__free_unpacked(in, NULL);
+}
+
+bool peers_wrap(struct core *c, uint64_t conn, int *status, int retry_after, char **body,
+		size_t *len)
+{
+	Peer__Forwarded out = PEER__FORWARDED__INIT;
+	struct wrapped *w;
+	uint8_t *buf;
+
+	HASH_FIND(hh, c->wrapped, &conn, sizeof(conn), w);
+	if (!w)
+		return false;
+	HASH_DEL(c->wrapped, w);
+	free(w);
+	out.status = (uint32_t)*status;
+	out.retry_after = (uint32_t)retry_after;
+	out.body.data = (uint8_t *)*body;
+	out.body.len = *len;
+	*len = peer__forwarded__get_packed_size(&out);
+	buf = malloc(*len + 1);
+	if (!buf)
+		abort();
+	peer__forwarded__pack(&out, buf);
+	free(*body);
+	*body = (char *)buf;
+	*status = 200;
+	return true;
+}
+
+/* --- the back link --- */
+
+void peers_request(struct core *c, const struct core_request *r)
+{
+	if (strcmp(r->method, "POST"))
+		core_reply_error(c, r->conn, 405, 0, "method");
+	else if (!strcmp(r->path, FORWARD_PATH))
+		forward_take(c, r);
+	else if (strcmp(r->path, COUNTS_PATH))
+		core_reply_error(c, r->conn, 404, 0, "no such path");
+	else if (c->el.role == ROLE_LEAD)
+		counts_reply(c, r->conn);
+	else
+		core_reply_error(c, r->conn, 421, 0, "not leading");
+}
+
+/* While the state service is silent, the others are asked for signs of life. */
+static void ping_tick(struct core *c)
+{
+	if (!c->state_down || c->now < c->ping_next)
+		return;
+	c->ping_next = c->now + PEER_PING_S;
+	for (size_t i = 0; i < c->conf->npeers; i++)
+		counts_ask(c, i);
+}
+
+void peers_tick(struct core *c)
+{
+	counts_tick(c);
+	ping_tick(c);
+}
+
+/*
+ * An outage of the state service is everybody's: turning users away would only make them come back
+ * later. A controller that hears neither the state service nor any other controller is of no use to
+ * them, while others may be.
+ */
+bool peers_ready(const struct core *c)
+{
+	if (!c->conf->npeers || c->now - c->state_heard < PEER_ALONE_S)
+		return true;
+	for (size_t i = 0; i < c->conf->npeers; i++)
+		if (c->now - c->peers[i].answered < PEER_ALONE_S)
+			return true;
+	return false;
+}
+
+void peers_clear(struct core *c)
+{
+	struct wrapped *w, *tmp;
+
+	HASH_ITER (hh, c->wrapped, w, tmp) {
+		HASH_DEL(c->wrapped, w);
+		free(w);
+	}
+}
--- a/src/core/state.h
+++ b/src/core/state.h
@@ -16,6 +16,8 @@
 struct job;
 struct machine;
 
+#define KEY_MAX 200 /* bytes of a key, from the protocol */
+
 /* --- calls to others --- */
 
 struct call;
@@ -30,8 +32,8 @@
 	uint64_t term; /* leadership under which it was made: answers of an older one are void */
 	double sent;
 	uint64_t session, seq; /* asked of a worker: what was known of it by then */
-	bool starts;	/* direct commands: a start is among them */
-	uint64_t token; /* direct commands: sent under it */
+	bool starts;	       /* direct commands: a start is among them */
+	uint64_t token;	       /* direct commands: sent under it */
 	char key[CONF_NAME_MAX + ID_MAX];
 	UT_hash_handle hh;
 };
@@ -82,15 +84,16 @@
 
 	/* the worker */
 	uint64_t session, seq, token;
-	uint64_t inc_token; /* it began anew: older tokens are those of copies from before; 0: never */
-	bool restarted;	    /* it began anew, and awaits a new token */
-	bool hears;	    /* it has shown that answers or commands reach it in this session */
-	int unproven;	    /* reports that did not count since one last did */
-	int unheeded;	    /* reports in a row that ignore a start */
-	double deaf_since;  /* steady; when `hears` was lost */
-	double last_beat; /* steady; < 0: none this term */
-	double last_word; /* any message this term; < 0: none */
-	double up_at;	  /* its first message this term */
+	uint64_t
+	    inc_token;	/* it began anew: older tokens are those of copies from before; 0: never */
+	bool restarted; /* it began anew, and awaits a new token */
+	bool hears;	/* it has shown that answers or commands reach it in this session */
+	int unproven;	/* reports that did not count since one last did */
+	int unheeded;	/* reports in a row that ignore a start */
+	double deaf_since; /* steady; when `hears` was lost */
+	double last_beat;  /* steady; < 0: none this term */
+	double last_word;  /* any message this term; < 0: none */
+	double up_at;	   /* its first message this term */
 	double asked_at;
 	double notice_s;
 	double notice_heard; /* when notice_s was said */
@@ -200,6 +203,7 @@
 	enum user_kind kind;
 	char id[ID_MAX];
 	struct job_spec *spec;
+	char *body;  /* of a submission, as it came */
 	int verdict; /* 400 or 422 to give if the job is not known; 0: valid */
 	const char *why;
 	double since;
@@ -207,10 +211,24 @@
 	struct user_req *prev, *next;
 };
 
-struct final {
+/* A job that users may ask about. */
+struct known {
 	char id[ID_MAX];
-	enum job_state state;
-	uint32_t ntasks;
+	enum job_state state; /* queued, cancelled, or if final, done */
+	bool final;
+	uint32_t done, running; /* tasks */
+	UT_hash_handle hh;
+};
+
+/* Another controller, as this one has found it. */
+struct peer_view {
+	double answered;   /* steady; its last answer */
+	double no_forward; /* steady; nothing is handed to it before */
+};
+
+/* A request that another controller handed on: its answer goes back wrapped. */
+struct wrapped {
+	uint64_t conn;
 	UT_hash_handle hh;
 };
 
@@ -280,7 +298,23 @@
 	struct user_req *submit_flying;
 	int nreads;
 	double submit_again;
-	struct final *finals;
+	struct known *known;
+	size_t nfinals;
+	struct user_req *asking,
+	    *asked; /* wait for the next read of changes; for the one under way */
+	bool index_known, index_out;
+	uint64_t index_revision;
+	char index_last[KEY_MAX];
+	double index_next;
+	double counts_at, counts_wanted, counts_next; /* steady */
+	uint64_t counts_token;
+	bool counts_out;
+
+	/* other controllers */
+	struct peer_view *peers;
+	struct wrapped *wrapped;
+	double state_heard; /* when the state service last served us */
+	double ping_next;
 
 	/* leader */
 	struct job *jobs;
@@ -426,7 +460,6 @@
 void commit_clear(struct core *c);
 /* True once nothing about the task's chunk or its job's end waits to be written. */
 bool commit_settled(const struct core *c, const struct job *j, uint32_t task);
-#define KEY_MAX 200
 void key_chunk(char *key, const char *id, uint32_t chunk);
 
 /* place.c */
@@ -440,6 +473,18 @@
 void pair_take_switches(struct core *c, const uint8_t *data, size_t len);
 void pair_tick(struct core *c);
 
+/* peers.c: what controllers ask each other */
+#define COUNTS_PATH "/counts"
+#define FORWARD_PATH "/forward"
+void peers_request(struct core *c, const struct core_request *r);
+bool forward_user(struct core *c, struct user_req *u);
+void peers_tick(struct core *c);
+/* Wraps the answer if the request was handed on by another controller. */
+bool peers_wrap(struct core *c, uint64_t conn, int *status, int retry_after, char **body,
+		size_t *len);
+bool peers_ready(const struct core *c);
+void peers_clear(struct core *c);
+
 /* rent.c */
 void rent_tick(struct core *c);
 void rent_clear(struct core *c);
--- a/src/core/store.c
+++ b/src/core/store.c
@@ -8,6 +8,8 @@
 void store_heard(struct core *c, int status)
 {
 	c->state_down = status <= 0 || status == 503;
+	if (!c->state_down)
+		c->state_heard = c->now;
 }
 
 struct call *store_get(struct core *c, const char *key, call_fn fn, void *arg)
--- a/src/core/users.c
+++ b/src/core/users.c
@@ -21,6 +21,7 @@
 	struct user_req *u = arg;
 
 	free(u->spec);
+	free(u->body);
 	free(u);
 }
 
@@ -30,6 +31,15 @@
 	user_free(u);
 }
 
+/* The state service does not serve us: another controller may be served, else the user is told. */
+static void user_unserved(struct core *c, struct user_req *u, int status)
+{
+	if (status != 429 && forward_user(c, u))
+		user_free(u);
+	else
+		user_fail(c, u, status == 429 ? 429 : 503, RETRY_AFTER_S, "state");
+}
+
 static void user_state(struct core *c, struct user_req *u, int status, enum job_state s,
 		       uint32_t done, uint32_t running)
 {
@@ -37,37 +47,80 @@
 	user_free(u);
 }
 
-/* --- final states, which never change --- */
+/* --- what is known of jobs: all that are open, and the final states of the latest --- */
+
+static struct known *known_find(struct core *c, const char *id)
+{
+	struct known *k;
+
+	HASH_FIND_STR(c->known, id, k);
+	return k;
+}
+
+static struct known *known_get(struct core *c, const char *id)
+{
+	struct known *k = known_find(c, id);
+
+	if (k || strlen(id) >= ID_MAX)
+		return k;
+	k = calloc(1, sizeof(*k));
+	if (!k)
+		abort();
+	snprintf(k->id, sizeof(k->id), "%s", id);
+	HASH_ADD_STR(c->known, id, k);
+	return k;
+}
+
+static void known_drop(struct core *c, struct known *k)
+{
+	c->nfinals -= k->final;
+	HASH_DEL(c->known, k);
+	free(k);
+}
+
+/* The oldest final states go first; they can be read again. */
+static void known_trim(struct core *c)
+{
+	struct known *k, *tmp;
+
+	HASH_ITER (hh, c->known, k, tmp) {
+		if (c->nfinals <= FINAL_CACHE_MAX)
+			return;
+		if (k->final)
+			known_drop(c, k);
+	}
+}
 
 void users_note_final(struct core *c, const char *id, enum job_state s, uint32_t ntasks)
 {
-	struct final *f;
+	struct known *k = known_get(c, id);
 
-	HASH_FIND_STR(c->finals, id, f);
-	if (f)
+	if (!k || k->final)
 		return;
-	if (HASH_COUNT(c->finals) >= FINAL_CACHE_MAX) {
-		f = c->finals;
-		HASH_DEL(c->finals, f);
-		free(f);
-	}
-	f = calloc(1, sizeof(*f));
-	if (!f)
-		abort();
-	snprintf(f->id, sizeof(f->id), "%s", id);
-	f->state = s;
-	f->ntasks = ntasks;
-	HASH_ADD_STR(c->finals, id, f);
+	k->final = true;
+	k->state = s;
+	k->done = s == JS_DONE ? ntasks : 0;
+	k->running = 0;
+	c->nfinals++;
+	known_trim(c);
+}
+
+static void known_open(struct core *c, const char *id, json_t *value)
+{
+	struct known *k = known_get(c, id);
+
+	if (!k || k->final)
+		return;
+	k->state = json_is_true(json_object_get(value, "cancelled")) ? JS_CANCELLED : JS_QUEUED;
 }
 
 static bool answer_final(struct core *c, struct user_req *u)
 {
-	struct final *f;
+	struct known *k = known_find(c, u->id);
 
-	HASH_FIND_STR(c->finals, u->id, f);
-	if (!f)
+	if (!k || !k->final)
 		return false;
-	user_state(c, u, 200, f->state, f->state == JS_DONE ? f->ntasks : 0, 0);
+	user_state(c, u, 200, k->state, k->done, 0);
 	return true;
 }
 
@@ -92,7 +145,7 @@
 		u->settled = true;
 		user_lookup(c, u);
 	} else {
-		user_fail(c, u, 503, RETRY_AFTER_S, "state");
+		user_unserved(c, u, status);
 	}
 }
 
@@ -108,30 +161,30 @@
 	store_commit(c, txn_finish(&t), on_cancelled, u)->drop = user_free;
 }
 
-static void answer_open(struct core *c, struct user_req *u, const struct kv_item *it)
+/* The leader knows how its tasks stand; another controller, what the leader told it of late. */
+static void answer_live(struct core *c, struct user_req *u, const struct known *k)
 {
-	uint32_t done = 0, running = 0;
-	struct job *j;
+	struct job *j = c->el.role == ROLE_LEAD ? job_find(c, u->id) : NULL;
+	bool fresh = c->now - c->counts_at < COUNTS_KEEP_S;
+	uint32_t done = j ? j->ndone : fresh && k ? k->done : 0;
+	uint32_t running = j ? j->nrunning : fresh && k ? k->running : 0;
 
-	if (json_is_true(json_object_get(it->value, "cancelled"))) {
-		user_state(c, u, 200, JS_CANCELLED, 0, 0);
-		return;
-	}
-	if (u->kind == USER_CANCEL) {
-		if (u->settled || c->now - u->since > USER_WAIT_S)
-			user_fail(c, u, 503, RETRY_AFTER_S, "unknown outcome");
-		else
-			user_cancel(c, u, it);
-		return;
-	}
-	j = c->el.role == ROLE_LEAD ? job_find(c, u->id) : NULL;
-	if (j) {
-		done = j->ndone;
-		running = j->nrunning;
-	}
+	c->counts_wanted = c->now;
 	user_state(c, u, 200, running ? JS_RUNNING : JS_QUEUED, done, running);
 }
 
+static void answer_open(struct core *c, struct user_req *u, const struct kv_item *it)
+{
+	if (json_is_true(json_object_get(it->value, "cancelled")))
+		user_state(c, u, 200, JS_CANCELLED, 0, 0);
+	else if (u->kind != USER_CANCEL)
+		answer_live(c, u, known_find(c, u->id));
+	else if (u->settled || c->now - u->since > USER_WAIT_S)
+		user_fail(c, u, 503, RETRY_AFTER_S, "unknown outcome");
+	else
+		user_cancel(c, u, it);
+}
+
 static void answer_absent(struct core *c, struct user_req *u)
 {
 	if (u->kind != USER_SUBMIT)
@@ -144,12 +197,19 @@
 		user_fail(c, u, 503, RETRY_AFTER_S, "unknown outcome");
 }
 
+static void note_final_value(struct core *c, const char *id, json_t *value)
+{
+	const char *s = json_string_value(json_object_get(value, "state"));
+
+	users_note_final(c, id, s && !strcmp(s, W_ST_DONE) ? JS_DONE : JS_CANCELLED,
+			 (uint32_t)json_integer_value(json_object_get(value, "tasks")));
+}
+
 static void on_final_read(struct core *c, struct call *call, int status, const char *body,
 			  size_t len)
 {
 	struct user_req *u = call->arg;
 	struct kv_item it;
-	const char *s;
 	json_t *o;
 
 	c->nreads--;
@@ -161,12 +221,10 @@
 	o = status == 200 ? wire_parse(body, len) : NULL;
 	if (!o || wire_kv(o, &it)) {
 		json_decref(o);
-		user_fail(c, u, status == 429 ? 429 : 503, RETRY_AFTER_S, "state");
+		user_unserved(c, u, status);
 		return;
 	}
-	s = json_string_value(json_object_get(it.value, "state"));
-	users_note_final(c, u->id, s && !strcmp(s, W_ST_DONE) ? JS_DONE : JS_CANCELLED,
-			 (uint32_t)json_integer_value(json_object_get(it.value, "tasks")));
+	note_final_value(c, u->id, it.value);
 	json_decref(o);
 	if (!answer_final(c, u))
 		user_fail(c, u, 503, RETRY_AFTER_S, "state");
@@ -196,12 +254,16 @@
 	}
 	o = status == 200 ? wire_parse(body, len) : NULL;
 	if (!o || wire_kv(o, &it))
-		user_fail(c, u, status == 429 ? 429 : 503, RETRY_AFTER_S, "state");
+		user_unserved(c, u, status);
 	else
 		answer_open(c, u, &it);
 	json_decref(o);
 }
 
+/*
+ * A cancellation needs the record itself. All others wait for one read of changes that leaves after
+ * they came: it tells of all of them at once, and is as new as their questions.
+ */
 static void user_lookup(struct core *c, struct user_req *u)
 {
 	if (answer_final(c, u))
@@ -210,7 +272,133 @@
 		user_fail(c, u, 429, RETRY_AFTER_BUSY_S, "busy");
 		return;
 	}
-	user_read(c, u, JOBS_OPEN, on_open_read);
+	if (u->kind == USER_CANCEL) {
+		user_read(c, u, JOBS_OPEN, on_open_read);
+		return;
+	}
+	DL_APPEND(c->asking, u);
+	c->nreads++;
+}
+
+/* --- the index: one read of changes answers all who ask --- */
+
+static void index_item(void *ctx, const struct kv_item *it)
+{
+	struct core *c = ctx;
+	struct known *k;
+
+	if (!strncmp(it->key, JOBS_OVER, strlen(JOBS_OVER)) && it->value) {
+		note_final_value(c, it->key + strlen(JOBS_OVER), it->value);
+	} else if (!strncmp(it->key, JOBS_OPEN, strlen(JOBS_OPEN)) && it->value) {
+		known_open(c, it->key + strlen(JOBS_OPEN), it->value);
+	} else if (!strncmp(it->key, JOBS_OPEN, strlen(JOBS_OPEN))) {
+		/* Its final record comes with the same transaction; without one, nothing is known.
+		 */
+		k = known_find(c, it->key + strlen(JOBS_OPEN));
+		if (k && !k->final)
+			known_drop(c, k);
+	}
+}
+
+static void answer_asked(struct core *c, struct user_req *u)
+{
+	struct known *k = known_find(c, u->id);
+
+	c->nreads--;
+	if (!k)
+		user_read(c, u, JOBS_OVER, on_final_read);
+	else if (k->final || k->state == JS_CANCELLED)
+		user_state(c, u, 200, k->state, k->final ? k->done : 0, 0);
+	else
+		answer_live(c, u, k);
+}
+
+static void asked_failed(struct core *c, struct user_req **list, int status)
+{
+	struct user_req *u, *tmp;
+
+	DL_FOREACH_SAFE (*list, u, tmp) {
+		DL_DELETE(*list, u);
+		c->nreads--;
+		user_unserved(c, u, status);
+	}
+}
+
+static void on_changes(struct core *c, struct call *call, int status, const char *body, size_t len)
+{
+	struct user_req *u, *tmp, *list = c->asked;
+	json_t *o;
+
+	(void)call;
+	c->asked = NULL;
+	c->index_out = false;
+	store_heard(c, status);
+	if (status != 200) {
+		c->index_known &= status != 410;
+		/* The limit of requests, or too old: the next read may tell. */
+		if (status == 410 || (status == 429 && list && c->now - list->since < ASK_WAIT_S)) {
+			DL_CONCAT(list, c->asking);
+			c->asking = list;
+			c->index_next = c->now + ASK_AGAIN_S;
+		} else {
+			asked_failed(c, &list, status);
+		}
+		return;
+	}
+	o = wire_parse(body, len);
+	wire_items(o, index_item, c);
+	if (wire_revision(o) > c->index_revision)
+		c->index_revision = wire_revision(o);
+	json_decref(o);
+	DL_FOREACH_SAFE (list, u, tmp) {
+		DL_DELETE(list, u);
+		answer_asked(c, u);
+	}
+}
+
+static void on_index_page(struct core *c, struct call *call, int status, const char *body,
+			  size_t len)
+{
+	bool first = !*c->index_last;
+	json_t *o, *last;
+	size_t n;
+
+	(void)call;
+	c->index_out = false;
+	store_heard(c, status);
+	c->index_next = c->now + ASK_AGAIN_S;
+	if (status != 200) {
+		asked_failed(c, &c->asking, status);
+		return;
+	}
+	o = wire_parse(body, len);
+	if (first)
+		c->index_revision = wire_revision(o);
+	wire_items(o, index_item, c);
+	n = json_array_size(json_object_get(o, W_ITEMS));
+	last = json_object_get(json_array_get(json_object_get(o, W_ITEMS), n ? n - 1 : 0), W_KEY);
+	snprintf(c->index_last, sizeof(c->index_last), "%s", last ? json_string_value(last) : "");
+	if (!wire_more(o)) {
+		c->index_known = true;
+		c->index_last[0] = 0;
+	}
+	c->index_next = c->now;
+	json_decref(o);
+}
+
+static void index_tick(struct core *c)
+{
+	if (c->index_out || !c->asking || c->now < c->index_next)
+		return;
+	c->index_out = true;
+	if (!c->index_known) {
+		store_range(c, JOBS_OPEN, c->index_last, on_index_page, NULL);
+		return;
+	}
+	c->index_next = c->now + ASK_GATHER_S;
+	c->asked = c->asking;
+	c->asking = NULL;
+	store_watch(c, JOBS_ALL, c->index_revision, 0, on_changes, NULL);
 }
 
 /* --- submissions, committed in batches --- */
@@ -268,7 +456,7 @@
 			u->settled = true;
 			user_lookup(c, u);
 		} else {
-			user_fail(c, u, status == 429 ? 429 : 503, RETRY_AFTER_S, "state");
+			user_unserved(c, u, status);
 		}
 	}
 }
@@ -308,7 +496,7 @@
 	return false;
 }
 
-void users_tick(struct core *c)
+static void submit_tick(struct core *c)
 {
 	struct user_req *u, *tmp;
 	size_t bytes = 0;
@@ -335,6 +523,12 @@
 	store_commit(c, txn_finish(&t), on_submit, NULL);
 }
 
+void users_tick(struct core *c)
+{
+	submit_tick(c);
+	index_tick(c);
+}
+
 /* --- validation --- */
 
 static bool zone_fits(const struct machine_type *t, const struct job_spec *s)
@@ -402,7 +596,8 @@
 	log_debug("submission", "body=%.600s", r->body);
 	u = user_new(c, r->conn, USER_SUBMIT, id);
 	u->spec = calloc(1, sizeof(*u->spec));
-	if (!u->spec)
+	u->body = strndup(r->body, r->len);
+	if (!u->spec || !u->body)
 		abort();
 	if (wire_job_decode(o, u->spec, &why)) {
 		u->verdict = 400;
@@ -449,7 +644,7 @@
 		if (strcmp(r->method, "GET"))
 			core_reply_error(c, r->conn, 405, 0, "method");
 		else
-			core_reply(c, r->conn, 200, 0, strdup("{}"));
+			core_reply(c, r->conn, peers_ready(c) ? 200 : 503, 0, strdup("{}"));
 	} else if (!strcmp(r->path, W_PATH_JOBS)) {
 		if (strcmp(r->method, "POST"))
 			core_reply_error(c, r->conn, 405, 0, "method");
@@ -465,14 +660,18 @@
 void users_clear(struct core *c)
 {
 	struct user_req *u, *tmp;
-	struct final *f, *ftmp;
+	struct known *k, *ktmp;
 
 	DL_FOREACH_SAFE (c->submits, u, tmp)
 		user_free(u);
 	DL_FOREACH_SAFE (c->submit_flying, u, tmp)
 		user_free(u);
-	HASH_ITER (hh, c->finals, f, ftmp) {
-		HASH_DEL(c->finals, f);
-		free(f);
+	DL_FOREACH_SAFE (c->asking, u, tmp)
+		user_free(u);
+	DL_FOREACH_SAFE (c->asked, u, tmp)
+		user_free(u);
+	HASH_ITER (hh, c->known, k, ktmp) {
+		HASH_DEL(c->known, k);
+		free(k);
 	}
 }
--- a/tests/runner.c
+++ b/tests/runner.c
@@ -34,6 +34,7 @@
 	uint64_t id;   /* call of a controller, or handle */
 	uint64_t life; /* of the controller that waits for it */
 	char *method, *path, *body;
+	size_t len; /* of the body, which may be binary on the back link */
 	int status;
 	uint64_t session, seq;
 	double sent;
@@ -77,9 +78,11 @@
 	double loss, repeat; /* shares of messages */
 	double copies;	     /* share of reports of which a late copy comes */
 	double copies_after; /* seconds, at most */
+	struct back *backs;
+	uint64_t next_back;
 	char *captured[SI_CAPTURES]; /* a machine's report, to be told again */
-	double quiet_since;  /* when the last trouble ends */
-	char crash_step[16]; /* the step of an election at which a controller ends */
+	double quiet_since;	     /* when the last trouble ends */
+	char crash_step[16];	     /* the step of an election at which a controller ends */
 	int crash_left;
 	double crash_back;
 	unsigned short rand48[3];
@@ -158,6 +161,16 @@
 	free(m);
 }
 
+static void msg_body(struct msg *m, const char *body, size_t len)
+{
+	m->body = malloc(len + 1);
+	if (!m->body)
+		abort();
+	memcpy(m->body, body ? body : "", len);
+	m->body[len] = 0;
+	m->len = len;
+}
+
 static double later(struct world *w)
 {
 	return w->now + LATENCY_S * (0.5 + erand48(w->rand48));
@@ -178,6 +191,34 @@
 	return m ? HOST_WORKERS + (int)(m - w->si.machines) : -1;
 }
 
+/* A request on the back link, until its answer has gone. */
+struct back {
+	uint64_t conn, call, life;
+	int from;
+	UT_hash_handle hh;
+};
+
+#define BACK_CONN (1u << 29) /* names of connections on the back link begin here */
+
+static void back_request(struct world *w, struct msg *m);
+
+static void back_answer(struct world *w, int n, const struct core_action *a)
+{
+	struct back *b;
+	struct msg *m;
+
+	HASH_FIND(hh, w->backs, &a->id, sizeof(a->id), b);
+	if (!b)
+		return;
+	m = msg_new(w, MSG_REPLY, n, b->from, later(w));
+	m->id = b->call;
+	m->life = b->life;
+	m->status = a->status;
+	msg_body(m, a->body, a->len);
+	HASH_DEL(w->backs, b);
+	free(b);
+}
+
 static void drain(struct world *w, int n)
 {
 	struct node *node = &w->nodes[n];
@@ -192,6 +233,8 @@
 			m->id = a->id;
 			m->status = a->status;
 			m->body = a->body ? strdup(a->body) : NULL;
+		} else if (a->kind == ACT_ANSWER && a->id >= BACK_CONN) {
+			back_answer(w, n, a);
 		} else if (a->kind == ACT_ANSWER) {
 			m = msg_new(w, MSG_REPLY, n, HOST_USERS, later(w));
 			m->id = a->id;
@@ -212,7 +255,7 @@
 				m->life = node->life;
 				m->method = strdup(a->method);
 				m->path = strdup(a->path);
-				m->body = strdup(a->body ? a->body : "");
+				msg_body(m, a->body, a->len);
 			}
 		}
 		core_action_free(a);
@@ -278,12 +321,30 @@
 	return (uint64_t)machine << 40 | 1u << 30 | (seq & 0x3fffffff);
 }
 
+static void back_request(struct world *w, struct msg *m)
+{
+	struct core_request r = {0, CORE_BACK, m->method, m->path, m->body, m->len};
+	struct back *b = calloc(1, sizeof(*b));
+
+	if (!b)
+		abort();
+	b->conn = BACK_CONN + ++w->next_back;
+	b->call = m->id;
+	b->life = m->life;
+	b->from = m->from;
+	HASH_ADD(hh, w->backs, conn, sizeof(b->conn), b);
+	r.conn = b->conn;
+	core_request(w->nodes[m->to].core, node_time(w, m->to), &r);
+}
+
 static void deliver_request(struct world *w, struct msg *m)
 {
 	struct handle *h;
 
-	if (m->to < HOST_STATE)
-		return; /* controllers' back side: below */
+	if (m->to < HOST_STATE) {
+		back_request(w, m);
+		return;
+	}
 	if (m->to >= HOST_WORKERS && w->si.machines[m->to - HOST_WORKERS].power != SI_UP)
 		return; /* no power: silent */
 	h = calloc(1, sizeof(*h));
@@ -356,7 +417,7 @@
 	struct core_answer a = {m->id, m->status, m->body ? m->body : "", 0};
 	struct core_request r = {0, CORE_FRONT, "POST", W_PATH_BEAT, m->body, 0};
 
-	a.len = strlen(a.body);
+	a.len = m->len ? m->len : strlen(a.body);
 	if (n &&
 	    (!n->up || ((m->kind == MSG_REPLY || m->kind == MSG_TIMEOUT) && n->life != m->life)))
 		return;
@@ -694,6 +755,17 @@
 		snprintf(f->front, sizeof(f->front), "10.0.0.%d:8080", i + 1);
 		snprintf(f->back, sizeof(f->back), "10.0.0.%d:8081", i + 1);
 		snprintf(w->si.node_names[i], NAME_MAX_LEN, "node-%d", i);
+		f->npeers = 0;
+		f->peers = calloc((size_t)w->nnodes, sizeof(*f->peers));
+		for (int k = 0; k < w->nnodes; k++) {
+			struct conf_peer *p = &f->peers[f->npeers];
+
+			if (k == i)
+				continue;
+			snprintf(p->name, sizeof(p->name), "node-%d", k);
+			snprintf(p->addr, sizeof(p->addr), "10.0.0.%d:8081", k + 1);
+			f->npeers++;
+		}
 		w->nodes[i].skew = (i - 1) * w->conf.skew_ms / 2000;
 	}
 	for (int i = 0; i < w->nnodes; i++)
@@ -803,8 +875,7 @@
 {
 	const char *what = x->w[0];
 
-	w->quiet_since =
-	    fmax(w->quiet_since, w->now + fmax(num(x, "for", 0), num(x, "back", 3)));
+	w->quiet_since = fmax(w->quiet_since, w->now + fmax(num(x, "for", 0), num(x, "back", 3)));
 
 	if (!strcmp(what, "crash")) {
 		if (!strcmp(x->w[1], "all"))
@@ -833,7 +904,8 @@
 		w->crash_left = (int)num(x, "times", 1);
 		w->crash_back = num(x, "back", 3);
 	} else if (!strcmp(what, "quiet")) {
-		w->quiet_since = w->now; /* as if what lasts were no trouble: for the checks' own tests */
+		w->quiet_since =
+		    w->now; /* as if what lasts were no trouble: for the checks' own tests */
 	} else if (!strcmp(what, "capture") || !strcmp(what, "replay")) {
 		do_capture(w, x);
 	} else if (!strcmp(what, "oneway")) {
@@ -884,6 +956,8 @@
 	struct user *u = calloc(1, sizeof(*u));
 	int i = leader_index(w) < 0 ? 0 : leader_index(w);
 
+	if (opt(x, "node", NULL))
+		i = node_of(w, opt(x, "node", "0"));
 	if (!u)
 		abort();
 	u->kind = USER_POLL;
@@ -921,6 +995,10 @@
 		return j ? (double)j->ndone : -1;
 	if (!strcmp(what, "starts"))
 		return j ? (double)j->starts : -1;
+	if (!strcmp(what, "shown"))
+		return j ? (double)j->shown_running : -1;
+	if (!strcmp(what, "takeovers"))
+		return (double)w->si.state.leader_puts;
 	if (!strcmp(what, "answers"))
 		return w->answers[atoi(arg)];
 	if (!strcmp(what, "state"))
@@ -1103,10 +1181,13 @@
 static void world_free(struct world *w)
 {
 	struct user *u, *tmp;
+	struct back *b, *btmp;
 
-	for (int i = 0; i < w->nnodes; i++)
+	for (int i = 0; i < w->nnodes; i++) {
 		if (w->nodes[i].up)
 			core_free(w->nodes[i].core);
+		free(w->nodes[i].conf.peers);
+	}
 	while (w->queue) {
 		struct msg *m = w->queue;
 
@@ -1123,6 +1204,10 @@
 		free(u);
 	for (int i = 0; i < SI_CAPTURES; i++)
 		free(w->captured[i]);
+	HASH_ITER (hh, w->backs, b, btmp) {
+		HASH_DEL(w->backs, b);
+		free(b);
+	}
 	for (struct si_watch *x = w->si.state.watches; x; x = x->next)
 		free((void *)(uintptr_t)x->handle);
 	si_free(&w->si);
--- a/tests/standin.c
+++ b/tests/standin.c
@@ -7,12 +7,12 @@
 #include <string.h>
 
 #include "conf/conf.h"
+#include "core/state.h"
 #include "wire/names.h"
 
-const char *const rule_names[RULES] = {"ran_twice",	"quota",     "wrong_place",
-				       "ran_cancelled", "forgotten", "invented",
-				       "not_done",	"went_back", "nothing_ran",
-				       "unserved",	"late_large"};
+const char *const rule_names[RULES] = {"ran_twice",   "quota",	  "wrong_place", "ran_cancelled",
+				       "forgotten",   "invented", "not_done",	 "went_back",
+				       "nothing_ran", "unserved", "late_large"};
 
 static void *zalloc(size_t n)
 {
@@ -124,6 +124,7 @@
 {
 	struct si_key *k = key_find(st, key);
 
+	st->leader_puts += !strcmp(key, LEADER_KEY);
 	if (!k) {
 		k = zalloc(sizeof(*k));
 		snprintf(k->key, sizeof(k->key), "%s", key);
@@ -389,8 +390,7 @@
 
 	st->filled = s->now;
 	st->request_room = fmin(s->conf->state_rps, st->request_room + dt * s->conf->state_rps);
-	st->put_room =
-	    fmin(s->conf->state_write_rps, st->put_room + dt * s->conf->state_write_rps);
+	st->put_room = fmin(s->conf->state_write_rps, st->put_room + dt * s->conf->state_write_rps);
 }
 
 /* Within the limits of requests, and of puts and deletes, a second? Counts what is taken. */
@@ -1113,12 +1113,14 @@
 	}
 	j->answered_at = s->now;
 	o = wire_parse(body, strlen(body));
+	j->shown_running = (int)json_integer_value(json_object_get(o, W_RUNNING));
 	told(s, j, json_string_value(json_object_get(o, W_STATE)));
 	json_decref(o);
 }
 
-#define FORGOTTEN_S 75.0 /* seconds without an answer once troubles are over, from the users' rules */
-#define LARGEST_S 240.0	 /* seconds within which the largest must begin */
+#define FORGOTTEN_S                                                                                \
+	75.0 /* seconds without an answer once troubles are over, from the users' rules */
+#define LARGEST_S 240.0 /* seconds within which the largest must begin */
 
 void si_check_answers(struct standin *s, double quiet_since)
 {
@@ -1173,7 +1175,8 @@
 		served += j->began_at >= 0;
 	}
 	if (2 * served < all)
-		si_broken(s, RULE_UNSERVED, "%d of %d like %s served (%s)", served, all, of->spec.id,
+		si_broken(s, RULE_UNSERVED, "%d of %d like %s served (%s)", served, all,
+			  of->spec.id,
 			  g == BY_CLASS	 ? "class"
 			  : g == BY_TEAM ? "team"
 					 : "largest");
--- a/tests/standin.h
+++ b/tests/standin.h
@@ -55,6 +55,7 @@
 	double accepted_at, answered_at, began_at; /* < 0: not yet */
 	uint8_t *done;
 	uint32_t ndone, starts, starts_seen;
+	int shown_running; /* as the last answer said */
 	UT_hash_handle hh;
 };
 
@@ -100,7 +101,7 @@
 	int txn_ops;
 	size_t value_bytes;
 	double request_room, put_room, filled; /* what the limits still allow, one second's burst */
-	uint64_t requests, puts, refused;
+	uint64_t requests, puts, refused, leader_puts;
 };
 
 /* --- machines --- */
