--- a/tests/runner.c
+++ b/tests/runner.c
@@ -18,6 +18,7 @@
 
 #define STEP_S 0.05
 #define LATENCY_S 0.004
+#define SLOW_S 0.3 /* seconds that a slow answer of the state service takes longer */
 #define WORDS 24
 #define SI_CAPTURES 8
 
@@ -76,6 +77,7 @@
 	double now;
 	double state_up_at;
 	double loss, repeat; /* shares of messages */
+	double slow;	     /* share of the state service's answers that come late */
 	double copies;	     /* share of reports of which a late copy comes */
 	double copies_after; /* seconds, at most */
 	struct back *backs;
@@ -276,7 +278,9 @@
 	struct msg *m;
 
 	if (h->id) {
-		m = msg_new(w, MSG_REPLY, h->from, h->node, later(w));
+		bool slow = h->from == HOST_STATE && erand48(w->rand48) < w->slow;
+
+		m = msg_new(w, MSG_REPLY, h->from, h->node, later(w) + (slow ? SLOW_S : 0));
 		m->id = h->id;
 		m->life = h->life;
 		m->status = status;
@@ -896,6 +900,8 @@
 		w->loss = atof(x->w[1]);
 	} else if (!strcmp(what, "repeat")) {
 		w->repeat = atof(x->w[1]);
+	} else if (!strcmp(what, "slow")) {
+		w->slow = atof(x->w[1]);
 	} else if (!strcmp(what, "copies")) {
 		w->copies = atof(x->w[1]);
 		w->copies_after = num(x, "after", 30);
