Arrays by what they need for their deadlines, when not all can meet them

Now who needs least slots to be done in time is served first, up to its need; then those that can still meet a later stated deadline; what is left is shared equally as before.

--- a/src/constants.h
+++ b/src/constants.h
@@ -146,6 +146,7 @@
 #define RESERVE_LEAST_S 5.0  /* seconds left at least of a task that outran its estimate */
 #define BACKFILL_FACTOR 1.5  /* times the estimate: owners are often wrong by half */
 #define BACKFILL_EXTRA_S 5.0 /* seconds to start and fetch */
+#define NEED_START_S 10.0    /* seconds to start and fetch, off the time an array has left */
 #define ORDINARY_S 4.0	     /* seconds: an ordinary machine's worth to those who need one */
 #define ROOM_SLACK 1e-6	     /* CPUs, GPUs, GB: sums of decimal amounts */
 #define ROUND_POOLS_MAX 256  /* kinds of machines told apart: types times zones times two */
--- a/src/core/place.c
+++ b/src/core/place.c
@@ -395,6 +395,77 @@
 	}
 }
 
+struct need {
+	struct job *job;
+	double times; /* of its deadline, which it can still meet */
+	uint32_t slots;
+};
+
+/* Slots that an array needs at once to be done by then, as far as the estimate tells; 0: too late.
+ */
+static uint32_t slots_needed(const struct core *c, const struct job *j, double times)
+{
+	double left = j->submitted + times * j->spec.deadline_s - c->wall - NEED_START_S;
+	double run = fmax(j->spec.estimate_s, 1);
+	uint32_t rest = j->spec.ntasks - j->ndone;
+
+	return left < run ? 0 : (uint32_t)ceil(rest / floor(left / run));
+}
+
+/* The soonest of the times at which its class's deadline counts that it can still meet. */
+static void job_need(const struct core *c, struct job *j, struct need *out)
+{
+	const struct conf_objective *o = c->conf->objectives;
+	uint32_t n;
+
+	out->job = j;
+	out->slots = j->spec.deadline_s < 0 ? 0 : slots_needed(c, j, 1);
+	out->times = 1;
+	for (size_t i = 0; i < c->conf->nobjectives && j->spec.deadline_s >= 0; i++) {
+		if (o[i].kind != OBJ_DEADLINE || strcmp(o[i].class_name, j->spec.class_name) ||
+		    o[i].times <= 1 || (out->slots && o[i].times >= out->times))
+			continue;
+		n = slots_needed(c, j, o[i].times);
+		if (!n)
+			continue;
+		out->slots = n;
+		out->times = o[i].times;
+	}
+}
+
+static int by_need(const void *a, const void *b)
+{
+	const struct need *x = a, *y = b;
+
+	if (x->times != y->times)
+		return x->times < y->times ? -1 : 1;
+	if (x->slots != y->slots)
+		return x->slots < y->slots ? -1 : 1;
+	return strcmp(x->job->spec.id, y->job->spec.id);
+}
+
+/*
+ * When not all can be done by their deadlines, equal shares would make all of them late. Who needs
+ * least is served first, up to what it needs; what is left is shared equally.
+ */
+static void serve_needs(struct round *r, struct job **jobs, size_t n)
+{
+	struct need *all = calloc(n + 1, sizeof(*all));
+	size_t k = 0;
+
+	if (!all)
+		abort();
+	for (size_t i = 0; i < n; i++) {
+		job_need(r->c, jobs[i], &all[k]);
+		k += all[k].slots > 0;
+	}
+	qsort(all, k, sizeof(*all), by_need);
+	for (size_t i = 0; i < k; i++)
+		while (all[i].job->nbound < all[i].slots && place_task(r, all[i].job))
+			;
+	free(all);
+}
+
 /* Arrays that hold nothing: the leader grants one slot to each. */
 static void serve_grants(struct round *r, struct job **jobs, size_t n)
 {
@@ -460,6 +531,7 @@
 			plan_room(r, jobs[i]);
 	}
 	serve_grants(r, arrays, narrays);
+	serve_needs(r, arrays, narrays);
 	if (narrays)
 		serve_turns(r);
 	serve_arrays(r, arrays, narrays);
