--- a/src/constants.h
+++ b/src/constants.h
@@ -172,10 +172,10 @@
 #define DELETE_BATCH_MAX 100	/* names per request, from the protocol */
 #define CLOUD_BACKOFF_S 1.5	/* seconds after 429, 503 or no answer */
 #define CATALOG_EVERY_S 60.0	/* seconds between reads of prices by the leader */
-#define IDLE_THRIFTY_S                                                                             \
-	40.0 /* seconds idle before return where money counts: a boot costs as much */
-#define IDLE_LAVISH_S 3600.0  /* seconds where it does not */
-#define HEADROOM_LAVISH 0.6   /* free room kept, as share of use, where a guarantee stands */
-#define HEADROOM_LAVISH_MIN 6 /* tasks of free room at least there */
+#define IDLE_THRIFTY_S 25.0	/* seconds idle before return where money counts: about a boot */
+#define IDLE_DEAR_S 12.0	/* the same for GPU machines: shorter brings boots, longer idles */
+#define IDLE_LAVISH_S 3600.0	/* seconds where it does not */
+#define HEADROOM_LAVISH 0.6	/* free room kept, as share of use, where a guarantee stands */
+#define HEADROOM_LAVISH_MIN 6	/* tasks of free room at least there */
 
 #endif
--- a/src/core/rent.c
+++ b/src/core/rent.c
@@ -206,11 +206,13 @@
 
 /* --- returning machines --- */
 
-static double patience(const struct core *c)
+static double patience(const struct core *c, const struct machine *m)
 {
 	if (c->conf->idle_patience_s >= 0)
 		return c->conf->idle_patience_s;
-	return rent_thrifty(c) ? IDLE_THRIFTY_S : IDLE_LAVISH_S;
+	if (!rent_thrifty(c))
+		return IDLE_LAVISH_S;
+	return m->type && m->type->gpus > 0 ? IDLE_DEAR_S : IDLE_THRIFTY_S;
 }
 
 /*
@@ -247,9 +249,11 @@
 			continue;
 		if (m->notice_s >= 0)
 			notice_look(c, m);
-		if (m->bindings || m->last_word < 0)
+		/* Room held for a gang is not idle, and a machine lost to it would undo the hold.
+		 */
+		if (m->bindings || m->last_word < 0 || m->hold_job)
 			continue;
-		if (m->draining || c->now - m->idle_since > patience(c)) {
+		if (m->draining || c->now - m->idle_since > patience(c, m)) {
 			log_info("machine_return", "machine=%s type=%s idle=%.1f", m->id,
 				 m->type_name, c->now - m->idle_since);
 			m->deleting = true;
