Large gangs gather room as it falls free; machines of no use to any job go back

Now a gang that waited 45 s holds whatever falls free in its zone until it is enough, two at a time (four once one has waited 100 s).

--- a/src/constants.h
+++ b/src/constants.h
@@ -137,20 +137,21 @@
 #define PREEMPT_SHARE 0.1   /* share of the class's shortest wait aim that passes first */
 #define PREEMPT_HOLD_S 20.0 /* seconds room is held for a gang that work was stopped for */
 #define PLAN_AGAIN_S 2.0    /* seconds between looks for room to be made for one gang */
-#define RESERVE_AFTER_S                                                                            \
-	60.0 /* seconds a gang waits before room is held for it: it has to begin                   \
-	      */
-/* within four minutes, and what runs ends in one or two */
-#define RESERVE_HOLD_S 120.0 /* seconds room is held before the choice is made anew */
-#define RESERVE_MOST 6	     /* gangs with room held at once: held room is idle room */
-#define RESERVE_LEAST_S 5.0  /* seconds left at least of a task that outran its estimate */
-#define BACKFILL_FACTOR 1.5  /* times the estimate: owners are often wrong by half */
-#define BACKFILL_EXTRA_S 5.0 /* seconds to start and fetch */
-#define NEED_START_S 10.0    /* seconds to start and fetch, off the time an array has left */
-#define ORDINARY_S 4.0	     /* seconds: an ordinary machine's worth to those who need one */
-#define ROOM_SLACK 1e-6	     /* CPUs, GPUs, GB: sums of decimal amounts */
-#define ROUND_POOLS_MAX 256  /* kinds of machines told apart: types times zones times two */
-#define ROUND_NO_MAX 32	     /* shapes without room remembered in a round */
+#define GATHER_AFTER_S 45.0 /* seconds a gang waits before room is held for it as it falls free:   \
+			     */
+/* within four minutes it has to begin, others are to be served too */
+#define GATHER_MOST 2	       /* gangs that hold so at once: held room is idle room */
+#define GATHER_LATE_S 100.0    /* seconds of waiting after which more of them may */
+#define GATHER_MOST_LATE 4     /* then */
+#define GATHER_HOLD_S 2.0      /* seconds held beyond the last round: rounds come twice a second */
+#define GATHER_USED_SHARE 0.05 /* of room in use that falls free in the seconds that matter */
+#define AGAIN_FACTOR 1.5  /* times the estimate, for a task that begins anew: often wrong by half  \
+			   */
+#define NEED_START_S 10.0 /* seconds to start and fetch, off the time an array has left */
+#define ORDINARY_S 4.0	  /* seconds: an ordinary machine's worth to those who need one */
+#define ROOM_SLACK 1e-6	  /* CPUs, GPUs, GB: sums of decimal amounts */
+#define ROUND_POOLS_MAX 256 /* kinds of machines told apart: types times zones times two */
+#define ROUND_NO_MAX 32	    /* shapes without room remembered in a round */
 
 /* --- rentals --- */
 #define RENT_EVERY_S 0.5	 /* seconds between looks at what is missing */
@@ -174,6 +175,7 @@
 #define CATALOG_EVERY_S 60.0	/* seconds between reads of prices by the leader */
 #define IDLE_THRIFTY_S 25.0	/* seconds idle before return where money counts: about a boot */
 #define IDLE_DEAR_S 12.0	/* the same for GPU machines: shorter brings boots, longer idles */
+#define IDLE_USELESS_S 60.0	/* seconds idle of a machine that no open job could use */
 #define IDLE_LAVISH_S 3600.0	/* seconds where it does not */
 #define HEADROOM_LAVISH 0.6	/* free room kept, as share of use, where a guarantee stands */
 #define HEADROOM_LAVISH_MIN 6	/* tasks of free room at least there */
--- a/src/core/machines.c
+++ b/src/core/machines.c
@@ -157,9 +157,9 @@
 {
 	bool vanished = m->missing >= MACHINE_GONE_LISTS && !machine_fresh(c, m);
 
-	/* Held room that can't be used any more: the gang's room is sought anew. */
+	/* Held room that can't be used any more. */
 	if (m->hold_job && !machine_usable(c, m))
-		plan_release(c, m->hold_job);
+		m->hold_job = NULL;
 	if (m->deleting)
 		return;
 	if (m->failed || vanished || silent_too_long(c, m)) {
--- a/src/core/place.c
+++ b/src/core/place.c
@@ -45,15 +45,7 @@
 
 /* --- room --- */
 
-/* Room held for a gang is nobody else's, but for work that ends before the gang can use it. */
-static bool hold_yields(const struct core *c, const struct job *holder, const struct job *j)
-{
-	double run = j->spec.estimate_s * BACKFILL_FACTOR + BACKFILL_EXTRA_S;
-
-	return holder == j || c->now + run < holder->hold_ready;
-}
-
-static uint32_t slots_for(const struct core *c, const struct spot_room *x, const struct job *j)
+static uint32_t slots_for(const struct spot_room *x, const struct job *j)
 {
 	const struct job *h = x->m->hold_job;
 	const struct job_spec *s = &j->spec;
@@ -62,7 +54,7 @@
 	if (x->cpus + ROOM_SLACK < s->cpus || x->gpus + ROOM_SLACK < s->gpus ||
 	    x->mem_gb + ROOM_SLACK < s->mem_gb)
 		return 0;
-	if (!h || hold_yields(c, h, j))
+	if (!h || h == j)
 		return room_slots(x->cpus, x->gpus, x->mem_gb, s);
 	return room_slots(x->cpus - n * h->spec.cpus, x->gpus - n * h->spec.gpus,
 			  x->mem_gb - n * h->spec.mem_gb, s);
@@ -157,7 +149,7 @@
 		struct candidate *k;
 		uint32_t slots;
 
-		if (!r->pools[x->pool].allowed || !(slots = slots_for(r->c, x, j)))
+		if (!r->pools[x->pool].allowed || !(slots = slots_for(x, j)))
 			continue;
 		k = &r->cands[r->ncands++];
 		k->room = x;
@@ -293,7 +285,7 @@
 		const struct pool *p = &r->pools[x->pool];
 		double cost = p->pool_cost;
 
-		if (!p->allowed || cost >= best_cost || !slots_for(r->c, x, j) ||
+		if (!p->allowed || cost >= best_cost || !slots_for(x, j) ||
 		    (held && strcmp(held, p->zone)))
 			continue;
 		cost += place_cost(x->m, j);
@@ -377,7 +369,7 @@
 		return NULL;
 	round_allow(r, &j->spec);
 	zone = job_held_zone(j);
-	if (!r->pools[x->pool].allowed || !slots_for(c, x, j) || !zone_rest(j, m->zone) ||
+	if (!r->pools[x->pool].allowed || !slots_for(x, j) || !zone_rest(j, m->zone) ||
 	    (zone && strcmp(zone, m->zone)))
 		return NULL;
 	return j;
--- a/src/core/plan.c
+++ b/src/core/plan.c
@@ -1,10 +1,11 @@
 /*
- * Room for a gang that finds none: lower work is stopped for it, or room is held for it as it
- * falls free. Held room is nobody else's, so that what was stopped does not serve others, and so
- * that a large gang is not passed by small ones for ever; work that ends before the gang can
- * begin still backfills (place.c).
+ * Room for a gang that finds none: lower work is stopped for it, or room is held for it wherever it
+ * falls free, until it is enough. Held room is nobody else's, so that what was stopped does not
+ * serve others, and so that a large gang is not passed by small ones for ever. Smaller work uses
+ * all that is not held; few gangs hold at once, so what idles is small.
  */
 #include <math.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -18,6 +19,8 @@
 	if (!j->hold_until)
 		return;
 	j->hold_until = 0;
+	j->gathering = false;
+	j->hold_zone[0] = 0;
 	HASH_ITER (hh, c->machines, m, tmp) {
 		if (m->hold_job != j)
 			continue;
@@ -51,7 +54,7 @@
 {
 	const struct job_spec *s = &b->job->spec;
 	double left = b->job->submitted + s->deadline_s - c->wall;
-	double again = s->estimate_s * BACKFILL_FACTOR + RENT_LEAD_S;
+	double again = s->estimate_s * AGAIN_FACTOR + RENT_LEAD_S;
 
 	return s->deadline_s >= 0 && left > 0 && left < again;
 }
@@ -96,37 +99,13 @@
 	const struct core *c;
 	const struct job *j;
 	bool own;
-	bool stop;  /* by stopping lower work */
-	bool await; /* by waiting for what runs to end */
 };
 
 static bool frees(const struct demand *d, const struct binding *b)
 {
 	if (b->stopping)
 		return true;
-	if (d->await)
-		return true;
-	return d->stop && may_stop(d->c, d->j, b) &&
-	       (!d->own || !strcmp(b->job->spec.team, d->j->spec.team));
-}
-
-/* Seconds until it has ended, as far as its owner's estimate tells. */
-static double ends_in(const struct core *c, const struct binding *b)
-{
-	double run = b->job->spec.estimate_s;
-
-	if (b->stopping)
-		return b->grace_s;
-	if (b->running_since > 0)
-		run -= c->now - b->running_since;
-	return fmax(run, RESERVE_LEAST_S);
-}
-
-static double free_cost(const struct demand *d, const struct binding *b)
-{
-	if (b->stopping)
-		return 0;
-	return d->await ? ends_in(d->c, b) : stop_cost(d->c, b);
+	return may_stop(d->c, d->j, b) && (!d->own || !strcmp(b->job->spec.team, d->j->spec.team));
 }
 
 /* The slots that the machine would have, and what they cost. */
@@ -141,7 +120,7 @@
 		if (!frees(d, b))
 			continue;
 		room_grow(&r, b);
-		*cost = d->await ? fmax(*cost, free_cost(d, b)) : *cost + free_cost(d, b);
+		*cost += b->stopping ? 0 : stop_cost(d->c, b);
 	}
 	all = slots_of(&r, d->j);
 	if (all > now)
@@ -256,7 +235,6 @@
 		      const struct choice *ch)
 {
 	uint32_t left = j->spec.ntasks;
-	double ready = 0;
 
 	for (size_t i = 0; i < r->ncands && left; i++) {
 		struct candidate *k = &r->cands[i];
@@ -268,35 +246,105 @@
 		m->hold_job = j;
 		m->hold_tasks = n;
 		left -= n;
-		ready = fmax(ready, k->cost);
-		if (d->stop)
-			stop_for(r->c, d, m, n);
+		stop_for(r->c, d, m, n);
 	}
-	j->hold_ready = r->c->now + (d->stop ? 0 : ready);
 }
 
-static uint32_t held_gangs(struct core *c)
+static bool stop_lower(struct round *r, struct job *j, struct demand *d)
+{
+	struct choice ch;
+
+	if (!choose(r, d, &ch))
+		return false;
+	carry_out(r, d, j, &ch);
+	j->hold_until = r->c->now + PREEMPT_HOLD_S;
+	log_info("hold", "job=%s tasks=%u zone=%s cost=%.0f waited=%.1f", j->spec.id,
+		 j->spec.ntasks, ch.zone ? ch.zone : "", ch.cost, r->c->wall - j->submitted);
+	return true;
+}
+
+/* --- holding room as it falls free --- */
+
+static uint32_t gatherers(struct core *c)
 {
 	struct job *j, *tmp;
 	uint32_t n = 0;
 
 	HASH_ITER (hh, c->jobs, j, tmp)
-		n += j->hold_until > 0;
+		n += j->gathering;
 	return n;
 }
 
-static bool try_plan(struct round *r, struct job *j, struct demand *d, double hold_s)
+static bool may_hold(const struct round *r, const struct spot_room *x, const struct job *j,
+		     const char *zone)
 {
-	struct choice ch;
+	const struct pool *p = &r->pools[x->pool];
 
-	if (!choose(r, d, &ch))
-		return false;
-	carry_out(r, d, j, &ch);
-	j->hold_until = r->c->now + hold_s;
-	log_info("hold", "job=%s tasks=%u zone=%s stop=%d cost=%.0f waited=%.1f", j->spec.id,
-		 j->spec.ntasks, ch.zone ? ch.zone : "", d->stop, ch.cost,
-		 r->c->wall - j->submitted);
-	return true;
+	return p->allowed && (!*zone || !strcmp(zone, p->zone)) &&
+	       (!x->m->hold_job || x->m->hold_job == j);
+}
+
+/* The zone with most room for it, free or in use: there it falls free soonest. */
+static const char *gather_zone(const struct round *r, const struct job *j)
+{
+	const char *best = NULL;
+	double most = 0;
+
+	for (size_t p = 0; p < r->npools; p++) {
+		const char *zone = r->pools[p].zone;
+		double n = 0;
+
+		for (size_t i = 0; i < r->nrooms; i++) {
+			const struct spot_room *x = &r->rooms[i];
+			const struct machine_type *t = x->m->type;
+
+			if (!may_hold(r, x, j, zone))
+				continue;
+			n += room_slots(x->cpus, x->gpus, x->mem_gb, &j->spec) +
+			     GATHER_USED_SHARE * room_slots(t->cpus, t->gpus, t->mem_gb, &j->spec);
+		}
+		if (n > most) {
+			most = n;
+			best = zone;
+		}
+	}
+	return best;
+}
+
+/* Holds what is free now, anew in each round: what was lost or is not needed goes back. */
+static void gather(struct round *r, struct job *j)
+{
+	uint32_t left = j->spec.ntasks;
+
+	round_allow(r, &j->spec);
+	for (size_t i = 0; i < r->nrooms; i++) {
+		struct spot_room *x = &r->rooms[i];
+		uint32_t n;
+
+		if (!may_hold(r, x, j, j->hold_zone))
+			continue;
+		n = room_slots(x->cpus, x->gpus, x->mem_gb, &j->spec);
+		x->m->hold_tasks = n < left ? n : left;
+		x->m->hold_job = x->m->hold_tasks ? j : NULL;
+		left -= x->m->hold_tasks;
+	}
+	j->hold_until = r->c->now + GATHER_HOLD_S;
+}
+
+static void gather_begin(struct round *r, struct job *j)
+{
+	const char *zone;
+
+	round_allow(r, &j->spec);
+	zone = gather_zone(r, j);
+	if (!zone)
+		return;
+	if (j->spec.one_zone)
+		snprintf(j->hold_zone, sizeof(j->hold_zone), "%s", zone);
+	j->gathering = true;
+	gather(r, j);
+	log_info("gather", "job=%s tasks=%u zone=%s waited=%.1f", j->spec.id, j->spec.ntasks,
+		 j->hold_zone, r->c->wall - j->submitted);
 }
 
 /* Seconds of waiting before lower work is stopped: room may fall free while the aim is not at risk.
@@ -320,8 +368,12 @@
 {
 	struct core *c = r->c;
 	double waited = c->now - j->waiting_since;
-	struct demand d = {c, j, false, true, false};
+	struct demand d = {c, j, false};
 
+	if (j->gathering) {
+		gather(r, j);
+		return true;
+	}
 	if (j->hold_until && c->now > j->hold_until)
 		plan_release(c, j);
 	if (j->bindings || j->hold_until || j->spec.spread || waited < patience(c, j) ||
@@ -329,11 +381,12 @@
 		return false;
 	j->next_plan = c->now + PLAN_AGAIN_S;
 	d.own = !team_has_room(c, &j->spec, j->spec.ntasks);
-	if (try_plan(r, j, &d, PREEMPT_HOLD_S))
+	if (stop_lower(r, j, &d))
 		return true;
-	if (d.own || c->wall - j->submitted < RESERVE_AFTER_S || held_gangs(c) >= RESERVE_MOST)
+	waited = c->wall - j->submitted;
+	if (d.own || waited < GATHER_AFTER_S ||
+	    gatherers(c) >= (waited < GATHER_LATE_S ? GATHER_MOST : GATHER_MOST_LATE))
 		return false;
-	d.stop = false;
-	d.await = true;
-	return try_plan(r, j, &d, RESERVE_HOLD_S);
+	gather_begin(r, j);
+	return true;
 }
--- a/src/core/rent.c
+++ b/src/core/rent.c
@@ -240,9 +240,25 @@
 	}
 }
 
+/* Whether any open job could use the machine's type; with none open, any might come. */
+static bool type_of_use(const struct core *c, const struct machine *m)
+{
+	const struct job *j, *tmp;
+
+	if (!m->type || !c->jobs)
+		return true;
+	HASH_ITER (hh, c->jobs, j, tmp)
+		if (!j->ghost && j->spec.cpus <= m->type->cpus && j->spec.gpus <= m->type->gpus &&
+		    j->spec.mem_gb <= m->type->mem_gb &&
+		    machine_allowed(m->type, m->zone, m->spot, &j->spec))
+			return true;
+	return false;
+}
+
 static void return_look(struct core *c)
 {
 	struct machine *m, *tmp;
+	double idle;
 
 	HASH_ITER (hh, c->machines, m, tmp) {
 		if (m->deleting)
@@ -253,7 +269,10 @@
 		 */
 		if (m->bindings || m->last_word < 0 || m->hold_job)
 			continue;
-		if (m->draining || c->now - m->idle_since > patience(c, m)) {
+		idle = c->now - m->idle_since;
+		/* Its reports cost the leader as much as those of a machine that works. */
+		if (m->draining || idle > patience(c, m) ||
+		    (idle > IDLE_USELESS_S && !type_of_use(c, m))) {
 			log_info("machine_return", "machine=%s type=%s idle=%.1f", m->id,
 				 m->type_name, c->now - m->idle_since);
 			m->deleting = true;
--- a/src/core/state.h
+++ b/src/core/state.h
@@ -155,9 +155,10 @@
 	int errors;
 	char bad[ERROR_JOB_MACHINES][ID_MAX];
 	int nbad;
-	double done_at;	      /* steady; its last task was heard to be done; 0: not yet */
-	double hold_until;    /* steady; room is held for it; 0: none */
-	double hold_ready;    /* when that room should be free */
+	double done_at;	   /* steady; its last task was heard to be done; 0: not yet */
+	double hold_until; /* steady; room is held for it; 0: none */
+	bool gathering;	   /* more is held as it falls free */
+	char hold_zone[NAME_MAX_LEN];
 	double next_plan;     /* no look for room to be made before */
 	double waiting_since; /* steady */
 	struct chunk *chunks;
