--- a/src/constants.h
+++ b/src/constants.h
@@ -145,6 +145,7 @@
 #define GATHER_MOST_LATE 4     /* then */
 #define GATHER_HOLD_S 2.0      /* seconds held beyond the last round: rounds come twice a second */
 #define GATHER_USED_SHARE 0.05 /* of room in use that falls free in the seconds that matter */
+#define AGAIN_START_S 15.0   /* seconds to find room, start and fetch anew */
 #define AGAIN_FACTOR 1.5  /* times the estimate, for a task that begins anew: often wrong by half  \
 			   */
 #define NEED_START_S 10.0 /* seconds to start and fetch, off the time an array has left */
--- a/src/core/plan.c
+++ b/src/core/plan.c
@@ -54,7 +54,7 @@
 {
 	const struct job_spec *s = &b->job->spec;
 	double left = b->job->submitted + s->deadline_s - c->wall;
-	double again = s->estimate_s * AGAIN_FACTOR + RENT_LEAD_S;
+	double again = s->estimate_s * AGAIN_FACTOR + AGAIN_START_S;
 
 	return s->deadline_s >= 0 && left > 0 && left < again;
 }
