--- a/tests/runner.c
+++ b/tests/runner.c
@@ -1011,6 +1011,10 @@
 		return !strcmp(arg, "puts")	  ? (double)w->si.state.puts
 		       : !strcmp(arg, "requests") ? (double)w->si.state.requests
 						  : (double)w->si.state.refused;
+	if (!strcmp(what, "asked"))
+		return !strcmp(arg, "show") ? (double)w->si.shows : (double)w->si.directs;
+	if (!strcmp(what, "allstarts"))
+		return (double)w->si.starts_total;
 	if (!strcmp(what, "leaders")) {
 		for (int i = 0; i < w->nnodes; i++)
 			n += w->nodes[i].up && w->nodes[i].core->el.role == ROLE_LEAD;
--- a/tests/standin.c
+++ b/tests/standin.c
@@ -807,6 +807,8 @@
 
 	if (m->power != SI_UP)
 		return;
+	s->shows += !strcmp(path, W_PATH_STATUS);
+	s->directs += !strcmp(path, W_PATH_COMMANDS);
 	if (!strcmp(path, W_PATH_STATUS)) {
 		answer(s, handle, 200, report(s, m));
 		return;
--- a/tests/standin.h
+++ b/tests/standin.h
@@ -165,6 +165,7 @@
 	bool verbose;
 	char why[256];
 	uint64_t starts_total;
+	uint64_t shows, directs; /* questions and direct commands to workers */
 };
 
 void si_init(struct standin *s, const struct si_ops *ops, void *ctx, const struct conf *conf);
