Gangs that can still meet an aim for their wait go before those that have missed it

Now whoever can still meet an aim goes first, who has waited 100 s before all; room gathered from 45 s of waiting on bounds the rest. Ruled out: take-overs (four, 25 to 120 ms of loading), refused requests (0).

--- a/src/constants.h
+++ b/src/constants.h
@@ -137,20 +137,24 @@
 #define PREEMPT_SHARE 0.1   /* share of the class's shortest wait aim that passes first */
 #define PREEMPT_HOLD_S 20.0 /* seconds room is held for a gang that work was stopped for */
 #define PLAN_AGAIN_S 2.0    /* seconds between looks for room to be made for one gang */
-#define GATHER_AFTER_S 45.0 /* seconds a gang waits before room is held for it as it falls free:   \
-			     */
+#define GATHER_AFTER_S                                                                             \
+	45.0 /* seconds a gang waits before room is held for it as it falls free:                  \
+	      */
 /* within four minutes it has to begin, others are to be served too */
 #define GATHER_MOST 2	       /* gangs that hold so at once: held room is idle room */
 #define GATHER_LATE_S 100.0    /* seconds of waiting after which more of them may */
 #define GATHER_MOST_LATE 4     /* then */
 #define GATHER_HOLD_S 2.0      /* seconds held beyond the last round: rounds come twice a second */
 #define GATHER_USED_SHARE 0.05 /* of room in use that falls free in the seconds that matter */
-#define AGAIN_START_S 15.0   /* seconds to find room, start and fetch anew */
-#define AGAIN_FACTOR 1.5  /* times the estimate, for a task that begins anew: often wrong by half  \
-			   */
-#define NEED_START_S 10.0 /* seconds to start and fetch, off the time an array has left */
-#define ORDINARY_S 4.0	  /* seconds: an ordinary machine's worth to those who need one */
-#define ROOM_SLACK 1e-6	  /* CPUs, GPUs, GB: sums of decimal amounts */
+#define AGAIN_START_S 15.0     /* seconds to find room, start and fetch anew */
+#define AGAIN_FACTOR                                                                               \
+	1.5		   /* times the estimate, for a task that begins anew: often wrong by half \
+			    */
+#define NEED_START_S 10.0  /* seconds to start and fetch, off the time an array has left */
+#define LATE_FIRST_S 100.0 /* seconds of waiting after which a gang goes before all others */
+#define ORDER_FAR_S 1e6	   /* seconds: before or behind all that have a time of their own */
+#define ORDINARY_S 4.0	   /* seconds: an ordinary machine's worth to those who need one */
+#define ROOM_SLACK 1e-6	   /* CPUs, GPUs, GB: sums of decimal amounts */
 #define ROUND_POOLS_MAX 256 /* kinds of machines told apart: types times zones times two */
 #define ROUND_NO_MAX 32	    /* shapes without room remembered in a round */
 
--- a/src/core/place.c
+++ b/src/core/place.c
@@ -339,9 +339,37 @@
 
 /* --- the round --- */
 
-static double due(const struct job *j)
+/* Seconds within which a job's tasks should start, by the first aim that it can still meet; 0:
+ * none. */
+static double wait_aim(const struct core *c, const struct job *j)
 {
-	return j->submitted + (j->spec.deadline_s >= 0 ? j->spec.deadline_s : 0);
+	double waited = c->wall - j->submitted, best = 0;
+
+	for (size_t i = 0; i < c->conf->nobjectives; i++) {
+		const struct conf_objective *o = &c->conf->objectives[i];
+
+		if (o->kind == OBJ_WAIT && o->within_s > waited &&
+		    !strcmp(o->class_name, j->spec.class_name) && (best <= 0 || o->within_s < best))
+			best = o->within_s;
+	}
+	return best;
+}
+
+/*
+ * The order within a priority. When not all can be served in time, first come would make all of
+ * them late: gangs that can still meet an aim for their wait go before those that have missed it.
+ * Who has waited long goes before all.
+ */
+static double due(const struct core *c, const struct job *j)
+{
+	double aim;
+
+	if (j->spec.kind == JOB_ARRAY)
+		return j->submitted + (j->spec.deadline_s >= 0 ? j->spec.deadline_s : 0);
+	if (c->wall - j->submitted > LATE_FIRST_S)
+		return j->submitted - ORDER_FAR_S;
+	aim = wait_aim(c, j);
+	return j->submitted + (aim > 0 ? aim : ORDER_FAR_S);
 }
 
 static int by_order(const void *a, const void *b)
@@ -350,8 +378,8 @@
 
 	if (x->spec.priority != y->spec.priority)
 		return x->spec.priority < y->spec.priority ? -1 : 1;
-	if (due(x) != due(y))
-		return due(x) < due(y) ? -1 : 1;
+	if (x->due != y->due)
+		return x->due < y->due ? -1 : 1;
 	return strcmp(x->spec.id, y->spec.id);
 }
 
@@ -502,9 +530,12 @@
 	*out = calloc(HASH_COUNT(c->jobs) + 1, sizeof(**out));
 	if (!*out)
 		abort();
-	HASH_ITER (hh, c->jobs, j, tmp)
-		if (job_waiting(j) && c->now >= j->not_before)
-			(*out)[n++] = j;
+	HASH_ITER (hh, c->jobs, j, tmp) {
+		if (!job_waiting(j) || c->now < j->not_before)
+			continue;
+		j->due = due(c, j);
+		(*out)[n++] = j;
+	}
 	qsort(*out, n, sizeof(**out), by_order);
 	return n;
 }
