--- a/src/core/state.h
+++ b/src/core/state.h
@@ -157,7 +157,7 @@
 	int nbad;
 	double done_at;	   /* steady; its last task was heard to be done; 0: not yet */
 	double hold_until; /* steady; room is held for it; 0: none */
-	double due;	      /* its place in the order of a round */
+	double due;	   /* its place in the order of a round */
 	bool gathering;	   /* more is held as it falls free */
 	char hold_zone[NAME_MAX_LEN];
 	double next_plan;     /* no look for room to be made before */
