--- a/src/core/core.c
+++ b/src/core/core.c
@@ -92,6 +92,28 @@
 	return call;
 }
 
+struct call *core_call_packed(struct core *c, const char *addr, const char *path, uint8_t *buf,
+			      size_t len, call_fn fn, void *arg)
+{
+	struct call *call =
+	    core_call(c, addr, "POST", fmt_path("%s", path), NULL, CALL_PEER_S, fn, arg);
+	struct core_action *a = c->actions->prev;
+
+	a->body = (char *)buf;
+	a->len = len;
+	return call;
+}
+
+void core_reply_packed(struct core *c, uint64_t conn, uint8_t *buf, size_t len)
+{
+	struct core_action *a;
+
+	core_reply(c, conn, 200, 0, NULL);
+	a = c->actions->prev;
+	a->body = (char *)buf;
+	a->len = len;
+}
+
 void core_reply(struct core *c, uint64_t conn, int status, int retry_after, char *body)
 {
 	struct core_action *a = action_add(c, ACT_ANSWER, conn);
--- a/src/core/pair.c
+++ b/src/core/pair.c
@@ -96,9 +96,7 @@
 		abort();
 	peer__switches__pack(out, buf);
 	if (w->conn) {
-		core_reply(c, w->conn, 200, 0, NULL);
-		c->actions->prev->body = (char *)buf;
-		c->actions->prev->len = n;
+		core_reply_packed(c, w->conn, buf, n);
 		return;
 	}
 	pair_take_switches(c, buf, n);
@@ -360,9 +358,8 @@
 		pair_begin(c, 0, buf, n);
 		free(buf);
 	} else {
-		core_call(c, c->conf->peers[owner].addr, "POST", fmt_path(PAIR_PATH), (char *)buf,
-			  CALL_PEER_S, on_part_answer, (void *)(uintptr_t)owner);
-		c->actions->prev->len = n;
+		core_call_packed(c, c->conf->peers[owner].addr, PAIR_PATH, buf, n, on_part_answer,
+				 (void *)(uintptr_t)owner);
 	}
 	free(b.slots);
 	free(b.slot_list);
--- a/src/core/peers.c
+++ b/src/core/peers.c
@@ -14,13 +14,6 @@
 
 /* --- counts of tasks --- */
 
-static void reply_packed(struct core *c, uint64_t conn, uint8_t *buf, size_t len)
-{
-	core_reply(c, conn, 200, 0, NULL);
-	c->actions->prev->body = (char *)buf;
-	c->actions->prev->len = len;
-}
-
 static void counts_reply(struct core *c, uint64_t conn)
 {
 	size_t n = HASH_COUNT(c->jobs), len;
@@ -49,7 +42,7 @@
 	if (!buf)
 		abort();
 	peer__counts__pack(&out, buf);
-	reply_packed(c, conn, buf, len);
+	core_reply_packed(c, conn, buf, len);
 	free(all);
 	free(list);
 }
@@ -165,10 +158,8 @@
 	peer__forward__pack(&out, buf);
 	h->conn = u->conn;
 	h->peer = i;
-	call = core_call(c, c->conf->peers[i].addr, "POST", fmt_path(FORWARD_PATH), (char *)buf,
-			 CALL_PEER_S, on_forwarded, h);
+	call = core_call_packed(c, c->conf->peers[i].addr, FORWARD_PATH, buf, len, on_forwarded, h);
 	call->drop = free;
-	c->actions->prev->len = len;
 }
 
 /* Hands the request to a controller that the state service may serve; false if there is none. */
--- a/src/core/state.h
+++ b/src/core/state.h
@@ -357,6 +357,10 @@
 /* core.c */
 struct call *core_call(struct core *c, const char *addr, const char *method, char *path, char *body,
 		       double timeout_s, call_fn fn, void *arg);
+/* To and from other controllers: a packed message, which the action owns from then on. */
+struct call *core_call_packed(struct core *c, const char *addr, const char *path, uint8_t *buf,
+			      size_t len, call_fn fn, void *arg);
+void core_reply_packed(struct core *c, uint64_t conn, uint8_t *buf, size_t len);
 void core_reply(struct core *c, uint64_t conn, int status, int retry_after, char *body);
 void core_reply_error(struct core *c, uint64_t conn, int status, int retry_after, const char *why);
 double core_random(struct core *c);
