--- a/src/core/peers.c
+++ b/src/core/peers.c
@@ -105,6 +105,16 @@
 
 /* --- requests handed on --- */
 
+/* The bytes of a message as a string of their own. */
+static char *text_of(const ProtobufCBinaryData *d)
+{
+	char *s = d->len ? strndup((const char *)d->data, d->len) : strdup("");
+
+	if (!s)
+		abort();
+	return s;
+}
+
 struct handed {
 	uint64_t conn;
 	size_t peer;
@@ -124,8 +134,7 @@
 	if (!in || in->status == 503)
 		p->no_forward = c->now + PEER_BACKOFF_S;
 	if (in)
-		core_reply(c, h->conn, (int)in->status, (int)in->retry_after,
-			   strndup((const char *)in->body.data, in->body.len));
+		core_reply(c, h->conn, (int)in->status, (int)in->retry_after, text_of(&in->body));
 	else
 		core_reply_error(c, h->conn, 503, RETRY_AFTER_S, "state");
 	if (in)
@@ -193,8 +202,8 @@
 		return;
 	}
 	w = calloc(1, sizeof(*w));
-	body = strndup((const char *)in->body.data, in->body.len);
-	if (!w || !body)
+	body = text_of(&in->body);
+	if (!w)
 		abort();
 	w->conn = r->conn;
 	HASH_ADD(hh, c->wrapped, conn, sizeof(w->conn), w);
