--- a/src/core/commit.c
+++ b/src/core/commit.c
@@ -120,11 +120,10 @@
 	commit_clear_flight(c);
 }
 
-bool commit_settled(const struct core *c, const struct job *j, uint32_t task)
+bool commit_settled(const struct job *j, uint32_t task)
 {
 	const struct chunk *k = &j->chunks[task / CHUNK_TASKS];
 
-	(void)c;
 	if (j->final_queued)
 		return j->final_done;
 	return !k->queued && !k->flying;
@@ -276,9 +275,8 @@
 			b->flying = true;
 }
 
-static void add_write(struct core *c, struct txn *t, struct write *w, int most)
+static void add_write(struct txn *t, struct write *w, int most)
 {
-	(void)c;
 	if (w->kind == WR_CHUNK)
 		add_chunk(t, w);
 	else if (w->kind == WR_FINAL)
@@ -587,7 +585,7 @@
 		return false;
 	DL_DELETE(*list, w);
 	DL_APPEND(c->flight.items, w);
-	add_write(c, &t->txn, w, most);
+	add_write(&t->txn, w, most);
 	t->nops += n;
 	t->bytes += write_bytes(w);
 	return true;
--- a/src/core/state.h
+++ b/src/core/state.h
@@ -299,7 +299,6 @@
 	int nsubmits;
 	struct user_req *submit_flying;
 	int nreads;
-	double submit_again;
 	struct known *known;
 	size_t nfinals;
 	struct user_req *asking,
@@ -465,7 +464,7 @@
 void commit_tick(struct core *c);
 void commit_clear(struct core *c);
 /* True once nothing about the task's chunk or its job's end waits to be written. */
-bool commit_settled(const struct core *c, const struct job *j, uint32_t task);
+bool commit_settled(const struct job *j, uint32_t task);
 void key_chunk(char *key, const char *id, uint32_t chunk);
 
 /* place.c */
--- a/src/core/users.c
+++ b/src/core/users.c
@@ -324,6 +324,17 @@
 	}
 }
 
+/* Too much has happened since: an open job may be over by now, so none is known to be open. */
+static void index_forget(struct core *c)
+{
+	struct known *k, *tmp;
+
+	c->index_known = false;
+	HASH_ITER (hh, c->known, k, tmp)
+		if (!k->final)
+			known_drop(c, k);
+}
+
 static void on_changes(struct core *c, struct call *call, int status, const char *body, size_t len)
 {
 	struct user_req *u, *tmp, *list = c->asked;
@@ -334,7 +345,8 @@
 	c->index_out = false;
 	store_heard(c, status);
 	if (status != 200) {
-		c->index_known &= status != 410;
+		if (status == 410)
+			index_forget(c);
 		/* The limit of requests, or too old: the next read may tell. */
 		if (status == 410 || (status == 429 && list && c->now - list->since < ASK_WAIT_S)) {
 			DL_CONCAT(list, c->asking);
--- a/src/core/workers.c
+++ b/src/core/workers.c
@@ -333,7 +333,7 @@
 	/* Its end must be on record first: until then this list is the only proof. */
 	if (!fenced(m) || m->token < c->el.token)
 		return false;
-	return !j || l->task >= j->spec.ntasks || commit_settled(c, j, l->task);
+	return !j || l->task >= j->spec.ntasks || commit_settled(j, l->task);
 }
 
 static void gather(struct core *c, struct machine *m, struct command_list *l, bool beat)
--- a/tests/runner.c
+++ b/tests/runner.c
@@ -19,7 +19,9 @@
 #define STEP_S 0.05
 #define LATENCY_S 0.004
 #define SLOW_S 0.3 /* seconds that a slow answer of the state service takes longer */
-#define EPILOGUE_S 80.0 /* seconds played after the last line: longer than a job may be forgotten */
+#define EPILOGUE_S                                                                                 \
+	80.0 /* seconds played after the last line: longer than a job may be forgotten             \
+	      */
 #define WORDS 24
 #define SI_CAPTURES 8
 
@@ -1095,6 +1097,7 @@
 	w->conf.state_rps = num(x, "rps", w->conf.state_rps);
 	w->conf.state_write_rps = num(x, "write_rps", w->conf.state_write_rps);
 	w->si.state.txn_ops = w->conf.txn_ops;
+	w->si.state.keep = (size_t)num(x, "keep", 0);
 }
 
 static void do_objective(struct world *w, const struct words *x)
--- a/tests/standin.c
+++ b/tests/standin.c
@@ -377,6 +377,12 @@
 	w->node = node;
 	query(path, W_PREFIX, w->prefix, sizeof(w->prefix));
 	w->from = strtoull(query(path, W_AFTER, num, sizeof(num)), NULL, 10);
+	if (s->state.keep && s->state.nchanges > s->state.keep &&
+	    w->from + 1 < s->state.changes[s->state.nchanges - s->state.keep].revision) {
+		free(w);
+		answer_error(s, handle, 410, "too old");
+		return;
+	}
 	w->ends = s->now + atof(query(path, W_WAIT, num, sizeof(num))) / 1000.0;
 	w->next = s->state.watches;
 	s->state.watches = w;
--- a/tests/standin.h
+++ b/tests/standin.h
@@ -94,6 +94,7 @@
 	struct si_lease *leases;
 	struct si_change *changes;
 	size_t nchanges, changes_cap;
+	size_t keep; /* changes that can still be read; 0: all */
 	struct si_watch *watches;
 	uint64_t revision, next_lease;
 	bool down;
