--- a/src/core/place.c
+++ b/src/core/place.c
@@ -131,6 +131,7 @@
 {
 	struct core *c = r->c;
 
+	plan_release(c, j); /* it has what room was held for */
 	binding_add(c, m, j, task, attempt);
 	round_take(r, m, &j->spec);
 	log_info("place", "job=%s task=%u attempt=%llu machine=%s waited=%.2f", j->spec.id, task,
@@ -262,10 +263,8 @@
 	find_candidates(r, j);
 	if (zone_slots(r, j, NULL) >= j->spec.ntasks && spread_fits(r, j)) {
 		cost_candidates(r, j);
-		if (!together || (zone = best_zone(r, j))) {
-			plan_release(r->c, j);
+		if (!together || (zone = best_zone(r, j)))
 			return bind_gang(r, j, zone);
-		}
 	}
 	note_no_room(r, j, j->spec.ntasks);
 	return false;
@@ -490,8 +489,8 @@
 static void serve_grants(struct round *r, struct job **jobs, size_t n)
 {
 	for (size_t i = 0; i < n; i++)
-		if (!jobs[i]->nbound)
-			place_task(r, jobs[i]);
+		if (!jobs[i]->nbound && !place_task(r, jobs[i]))
+			plan_room(r, jobs[i]);
 }
 
 /* Arrays of one priority: whoever holds least is served first, one task at a time. */
--- a/src/core/plan.c
+++ b/src/core/plan.c
@@ -29,6 +29,12 @@
 	}
 }
 
+/* Tasks that room is made for: all of a gang or service, the first of an array that holds none. */
+static uint32_t plan_tasks(const struct job *j)
+{
+	return j->spec.kind == JOB_ARRAY ? 1 : j->spec.ntasks;
+}
+
 /* --- what may be stopped --- */
 
 /* What the team holds beyond its guarantee was borrowed, and is returned to a team within its own.
@@ -37,7 +43,7 @@
 {
 	const struct team *t = team_find((struct core *)c, b->job->spec.team);
 	const struct team *own = team_find((struct core *)c, j->spec.team);
-	double n = j->spec.kind == JOB_ARRAY ? 1 : j->spec.ntasks;
+	double n = plan_tasks(j);
 
 	if (!t || !own || t == own || own->conf->cpus <= 0 || t->conf->cpus <= 0)
 		return false;
@@ -169,7 +175,7 @@
 	uint32_t n = 0;
 	double cost = 0;
 
-	for (size_t i = 0; i < r->ncands && n < j->spec.ntasks; i++) {
+	for (size_t i = 0; i < r->ncands && n < plan_tasks(j); i++) {
 		const struct candidate *k = &r->cands[i];
 
 		if (zone && strcmp(zone, k->room->m->zone))
@@ -177,7 +183,7 @@
 		n += k->slots;
 		cost += k->cost;
 	}
-	return n >= j->spec.ntasks ? cost : INFINITY;
+	return n >= plan_tasks(j) ? cost : INFINITY;
 }
 
 static bool choose(struct round *r, const struct demand *d, struct choice *out)
@@ -187,7 +193,7 @@
 	offers(r, d);
 	out->zone = NULL;
 	out->cost = INFINITY;
-	if (!j->spec.one_zone || j->spec.ntasks == 1) {
+	if (!j->spec.one_zone || plan_tasks(j) == 1) {
 		out->cost = zone_offer(r, j, NULL);
 		return isfinite(out->cost);
 	}
@@ -234,7 +240,7 @@
 static void carry_out(struct round *r, const struct demand *d, struct job *j,
 		      const struct choice *ch)
 {
-	uint32_t left = j->spec.ntasks;
+	uint32_t left = plan_tasks(j);
 
 	for (size_t i = 0; i < r->ncands && left; i++) {
 		struct candidate *k = &r->cands[i];
@@ -363,7 +369,7 @@
 	return fmax(PREEMPT_AFTER_S, PREEMPT_SHARE * within);
 }
 
-/* Called in a round for each gang that found no room. */
+/* Called in a round for each gang, and each array that holds nothing, that found no room. */
 bool plan_room(struct round *r, struct job *j)
 {
 	struct core *c = r->c;
@@ -380,11 +386,11 @@
 	    c->now < j->next_plan)
 		return false;
 	j->next_plan = c->now + PLAN_AGAIN_S;
-	d.own = !team_has_room(c, &j->spec, j->spec.ntasks);
+	d.own = !team_has_room(c, &j->spec, plan_tasks(j));
 	if (stop_lower(r, j, &d))
 		return true;
 	waited = c->wall - j->submitted;
-	if (d.own || waited < GATHER_AFTER_S ||
+	if (d.own || j->spec.kind == JOB_ARRAY || waited < GATHER_AFTER_S ||
 	    gatherers(c) >= (waited < GATHER_LATE_S ? GATHER_MOST : GATHER_MOST_LATE))
 		return false;
 	gather_begin(r, j);
