One test for what is older; fields that nothing reads go

The answer to a question was compared with what was known by a copy of the test for late reports; both call it now. Dead: a choice's own list of candidates, a counter of loads. No change of behaviour.

--- a/src/core/plan.c
+++ b/src/core/plan.c
@@ -137,11 +137,10 @@
 
 /* --- choosing machines --- */
 
+/* The round's candidates, cheapest first, and where among them room is made. */
 struct choice {
-	struct candidate *cands; /* cheapest first */
-	size_t n;
-	const char *zone;
-	double cost; /* of the dearest, or all, that are needed */
+	const char *zone; /* NULL: anywhere */
+	double cost;	  /* of all that are needed */
 };
 
 static int by_cost_per_slot(const void *a, const void *b)
--- a/src/core/state.h
+++ b/src/core/state.h
@@ -329,7 +329,6 @@
 	bool fence_wanted;
 	double fence_at;
 	uint32_t attempts;
-	int loads_out;
 	uint64_t jobs_revision;
 	bool jobs_watching;
 	double jobs_watch_again;
--- a/src/core/workers.c
+++ b/src/core/workers.c
@@ -145,9 +145,10 @@
 	return r->token >= c->el.first_token && r->token >= m->inc_token && !m->restarted;
 }
 
-static bool report_older(const struct machine *m, const struct report *r)
+/* True unless the report is newer than the message that (session, seq) names. */
+static bool report_older(const struct report *r, uint64_t session, uint64_t seq)
 {
-	return r->session < m->session || (r->session == m->session && r->seq <= m->seq);
+	return r->session < session || (r->session == session && r->seq <= seq);
 }
 
 /*
@@ -192,7 +193,7 @@
 {
 	bool first = m->last_word < 0;
 
-	if (report_older(m, r))
+	if (report_older(r, m->session, m->seq))
 		return false;
 	if (beat && m->session && r->session > m->session)
 		note_deaf(c, m, "lease_ran_out");
@@ -382,7 +383,7 @@
 			workers_ask(c, m);
 		return false;
 	}
-	if (!report_older(m, r))
+	if (!report_older(r, m->session, m->seq))
 		return take_report(c, m, r, true);
 	if (c->now - m->asked_at > MACHINE_ASK_S)
 		workers_ask(c, m);
@@ -437,8 +438,7 @@
 	same = m && !strcmp(m->id, call->key);
 	if (same && !m->restarted && m->inc_token <= call->token) {
 		machine_describe(c, m, rep.addr, rep.type, rep.zone, rep.spot);
-		if (rep.session < call->session ||
-		    (rep.session == call->session && rep.seq <= call->seq))
+		if (report_older(&rep, call->session, call->seq))
 			machine_restarted(c, m);
 		else
 			take_report(c, m, &rep, false);
