Sockets: longest idle gives way, idle connections hold no buffers, pools end

Now callers idle longer than a lease are closed, and at the limit the longest idle connection is, our own first. Pools of addresses no longer used are freed; the backlog is as large as the socket limit.

--- a/daemon/main.c
+++ b/daemon/main.c
@@ -1,5 +1,6 @@
 /* The thin program: arguments, settings, and the loop between the network and the core. */
 #include <argp.h>
+#include <math.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -121,7 +122,9 @@
 	struct daemon d;
 
 	signal(SIGPIPE, SIG_IGN);
-	d.net = net_new(&ops, &d, conf->max_connections - NET_FILES);
+	/* A worker silent for its lease has lost its tasks; our own kept connections close first. */
+	d.net = net_new(&ops, &d, conf->max_connections - NET_FILES,
+			fmax(conf->lease_s, NET_IDLE_S) + NET_SLOW_S);
 	if (net_listen(d.net, NET_FRONT, conf->front) || net_listen(d.net, NET_BACK, conf->back)) {
 		log_error("listen", "front=%s back=%s", conf->front, conf->back);
 		return 1;
--- a/src/constants.h
+++ b/src/constants.h
@@ -9,7 +9,6 @@
 
 /* --- net --- */
 #define NET_ADDR_MAX 64	      /* bytes: "255.255.255.255:65535" with room */
-#define NET_BACKLOG 256	      /* connections: a burst of users within one late turn */
 #define NET_READ_CHUNK 8192   /* bytes: most messages in one system call */
 #define NET_EVENTS 64	      /* events taken per epoll_wait: bounds one turn */
 #define NET_ACCEPT_BATCH 32   /* connections taken per turn: answers are not starved */
--- a/src/net/net.c
+++ b/src/net/net.c
@@ -41,12 +41,15 @@
 	struct pool *pool;
 	struct buf in, out;
 	struct conn *prev, *next;
+	struct conn *iprev, *inext; /* client: among the idle ones of all addresses */
 	UT_hash_handle hh;
 };
 
+/* The connections to one address; it goes with the last of them. */
 struct pool {
 	char addr[NET_ADDR_MAX];
 	struct conn *idle;
+	int nconns;
 	UT_hash_handle hh;
 };
 
@@ -55,12 +58,14 @@
 	const struct net_ops *ops;
 	void *ctx;
 	int max_conns;
+	double idle_s; /* seconds a caller's connection may idle */
 	int nconns;
 	uint64_t next_id;
 	double next_sweep;
-	struct conn *servers; /* list */
+	struct conn *servers; /* list, by `since`: who was silent longest comes first */
 	struct conn *by_id;   /* hash of servers */
 	struct conn *calls;   /* list of busy clients */
+	struct conn *idle;    /* list of all idle clients, longest idle first */
 	struct conn *dead;    /* list, freed after the round */
 	struct pool *pools;
 	struct conn listeners[2];
@@ -101,7 +106,7 @@
 	return port > 0 && port < 65536 && inet_pton(AF_INET, host, &sa->sin_addr) == 1 ? 0 : -1;
 }
 
-struct net *net_new(const struct net_ops *ops, void *ctx, int max_conns)
+struct net *net_new(const struct net_ops *ops, void *ctx, int max_conns, double idle_s)
 {
 	struct net *n = calloc(1, sizeof(*n));
 
@@ -111,6 +116,7 @@
 	n->ops = ops;
 	n->ctx = ctx;
 	n->max_conns = max_conns;
+	n->idle_s = idle_s;
 	n->next_id = 1;
 	n->listeners[0].fd = n->listeners[1].fd = -1;
 	return n;
@@ -137,12 +143,42 @@
 	if (c->fd < 0)
 		return -1;
 	setsockopt(c->fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
-	if (bind(c->fd, (struct sockaddr *)&sa, sizeof(sa)) || listen(c->fd, NET_BACKLOG))
+	if (bind(c->fd, (struct sockaddr *)&sa, sizeof(sa)) || listen(c->fd, n->max_conns))
 		return -1;
 	watch(n, c, EPOLL_CTL_ADD);
 	return 0;
 }
 
+static void idle_add(struct net *n, struct conn *c)
+{
+	c->since = net_now();
+	DL_PREPEND(c->pool->idle, c);
+	DL_APPEND2(n->idle, c, iprev, inext);
+}
+
+static void idle_remove(struct net *n, struct conn *c)
+{
+	DL_DELETE(c->pool->idle, c);
+	DL_DELETE2(n->idle, c, iprev, inext);
+}
+
+/* A caller did something: it is now the last to be silent. */
+static void server_stir(struct net *n, struct conn *c)
+{
+	c->since = net_now();
+	DL_DELETE(n->servers, c);
+	DL_APPEND(n->servers, c);
+}
+
+/* An idle connection holds no buffers: there are thousands of them. */
+static void conn_rest(struct conn *c)
+{
+	if (!c->in.len)
+		buf_free(&c->in);
+	if (!c->out.len)
+		buf_free(&c->out);
+}
+
 static void conn_close(struct net *n, struct conn *c)
 {
 	if (c->dead)
@@ -158,17 +194,50 @@
 	} else if (c->busy) {
 		DL_DELETE(n->calls, c);
 	} else {
-		DL_DELETE(c->pool->idle, c);
+		idle_remove(n, c);
 	}
 	DL_APPEND(n->dead, c);
 }
 
+static void pool_put(struct net *n, struct pool *p)
+{
+	if (--p->nconns)
+		return;
+	HASH_DEL(n->pools, p);
+	free(p);
+}
+
+/*
+ * Sockets run short, as when many machines went silent without closing theirs: whoever has idled
+ * longest gives way, our own kept connections first, so that /ready, users and the state service
+ * are never crowded out by callers that may not exist any more.
+ */
+static int make_room(struct net *n)
+{
+	struct conn *c = n->idle;
+
+	if (!c) {
+		DL_FOREACH (n->servers, c)
+			if (!c->busy && !c->in.len && !c->out.len)
+				break;
+	}
+	if (!c) {
+		log_error("conn_limit", "conns=%d", n->nconns);
+		return -1;
+	}
+	log_debug("conn_evicted", "kind=%d idle=%.1f", c->kind, net_now() - c->since);
+	conn_close(n, c);
+	return 0;
+}
+
 static void free_dead(struct net *n)
 {
 	struct conn *c, *tmp;
 
 	DL_FOREACH_SAFE (n->dead, c, tmp) {
 		DL_DELETE(n->dead, c);
+		if (c->pool)
+			pool_put(n, c->pool);
 		buf_free(&c->in);
 		buf_free(&c->out);
 		free(c);
@@ -226,7 +295,7 @@
 	if (!c || !c->busy)
 		return;
 	c->busy = 0;
-	c->since = net_now();
+	server_stir(n, c);
 	buf_addf(&c->out,
 		 "HTTP/1.1 %d %s\r\nContent-Type: application/json\r\nContent-Length: %zu\r\n",
 		 status, http_reason(status), len);
@@ -238,6 +307,8 @@
 	buf_add(&c->out, body, len);
 	if (conn_flush(n, c))
 		conn_close(n, c);
+	else
+		conn_rest(c);
 }
 
 static void server_refuse(struct net *n, struct conn *c, int status)
@@ -306,8 +377,8 @@
 	} else {
 		DL_DELETE(n->calls, c);
 		c->busy = 0;
-		c->since = net_now();
-		DL_PREPEND(c->pool->idle, c);
+		conn_rest(c);
+		idle_add(n, c);
 	}
 	n->ops->reply(n->ctx, id, m.status, m.body, m.body_len);
 	buf_free(&in);
@@ -328,7 +399,7 @@
 			return;
 		}
 		if (!c->in.len && c->kind == CONN_SERVER)
-			c->since = net_now();
+			server_stir(n, c);
 		c->in.len += (size_t)r;
 		if (c->in.len > HTTP_REPLY_MAX + HTTP_HEAD_MAX ||
 		    (c->kind == CONN_SERVER && c->in.len > HTTP_BODY_MAX + HTTP_HEAD_MAX)) {
@@ -370,10 +441,8 @@
 
 		if (fd < 0)
 			return;
-		/* Sockets for our own calls are kept back; a caller that is turned away asks again.
-		 */
-		if (n->nconns >= n->max_conns - NET_CONNS_RESERVED) {
-			log_error("conn_limit", "conns=%d", n->nconns);
+		/* Sockets for our own calls are kept back. */
+		if (n->nconns >= n->max_conns - NET_CONNS_RESERVED && make_room(n)) {
 			close(fd);
 			return;
 		}
@@ -402,7 +471,7 @@
 	struct conn *c;
 	int fd, one = 1;
 
-	if (parse_addr(p->addr, &sa) || n->nconns >= n->max_conns)
+	if (parse_addr(p->addr, &sa) || (n->nconns >= n->max_conns && make_room(n)))
 		return NULL;
 	fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 	if (fd < 0)
@@ -418,6 +487,7 @@
 	c->fd = fd;
 	c->kind = CONN_CLIENT;
 	c->pool = p;
+	p->nconns++;
 	c->connecting = 1;
 	c->want_out = 1;
 	n->nconns++;
@@ -430,10 +500,12 @@
 	struct pool *p = pool_get(n, call->addr);
 	struct conn *c = p->idle;
 
+	p->nconns++; /* held while it is looked at: opening may close another of its own */
 	if (c)
-		DL_DELETE(p->idle, c);
+		idle_remove(n, c);
 	else
 		c = client_open(n, p);
+	pool_put(n, p);
 	if (!c) {
 		n->ops->reply(n->ctx, call->id, -1, "", 0);
 		return;
@@ -490,7 +562,6 @@
 static void sweep(struct net *n, double now)
 {
 	struct conn *c, *tmp;
-	struct pool *p, *ptmp;
 
 	DL_FOREACH_SAFE (n->calls, c, tmp) {
 		if (c->deadline <= now && !c->dead) {
@@ -501,16 +572,18 @@
 			n->ops->reply(n->ctx, id, status, "", 0);
 		}
 	}
+	/* Longest silent first. A request half sent, or an answer nobody reads, holds a socket; so
+	 * does a caller that is gone without a word. */
 	DL_FOREACH_SAFE (n->servers, c, tmp) {
-		/* A request half sent, or an answer nobody reads, holds a socket. */
-		if (!c->busy && (c->in.len || c->out.len) && now - c->since > NET_SLOW_S)
+		if (now - c->since <= NET_SLOW_S)
+			break;
+		if (!c->busy && (c->in.len || c->out.len || now - c->since > n->idle_s))
 			conn_close(n, c);
 	}
-	HASH_ITER (hh, n->pools, p, ptmp) {
-		DL_FOREACH_SAFE (p->idle, c, tmp) {
-			if (now - c->since > NET_IDLE_S)
-				conn_close(n, c);
-		}
+	DL_FOREACH_SAFE2 (n->idle, c, tmp, inext) {
+		if (now - c->since <= NET_IDLE_S)
+			break;
+		conn_close(n, c);
 	}
 }
 
@@ -541,18 +614,12 @@
 
 void net_free(struct net *n)
 {
-	struct pool *p, *tmp;
-
 	while (n->servers)
 		conn_close(n, n->servers);
 	while (n->calls)
 		conn_close(n, n->calls);
-	HASH_ITER (hh, n->pools, p, tmp) {
-		while (p->idle)
-			conn_close(n, p->idle);
-		HASH_DEL(n->pools, p);
-		free(p);
-	}
+	while (n->idle)
+		conn_close(n, n->idle);
 	free_dead(n);
 	for (int i = 0; i < 2; i++)
 		if (n->listeners[i].fd >= 0)
--- a/src/net/net.h
+++ b/src/net/net.h
@@ -29,7 +29,8 @@
 	double timeout_s;
 };
 
-struct net *net_new(const struct net_ops *ops, void *ctx, int max_conns);
+/* A caller's connection is closed once it idled `idle_s`, or when sockets run short. */
+struct net *net_new(const struct net_ops *ops, void *ctx, int max_conns, double idle_s);
 void net_free(struct net *n);
 int net_listen(struct net *n, enum net_side side, const char *addr);
 void net_send(struct net *n, const struct net_call *call);
--- a/tests/smoke.c
+++ b/tests/smoke.c
@@ -342,7 +342,7 @@
 	for (int i = 0; i < 2 + MACHINES; i++) {
 		servers[i].s = &s;
 		servers[i].index = i;
-		s.servers[i] = net_new(&server_ops, &servers[i], 500);
+		s.servers[i] = net_new(&server_ops, &servers[i], 500, LIMIT_S);
 		new_addr(s.addrs[i]);
 		if (net_listen(s.servers[i], NET_FRONT, s.addrs[i]))
 			return 2;
@@ -353,7 +353,7 @@
 			m->up_at = s.si.now;
 		}
 	}
-	s.net = net_new(&user_ops, &s, 500);
+	s.net = net_new(&user_ops, &s, 500, LIMIT_S);
 	add_job(&s, 1, JOB_ARRAY, 12, 1.5);
 	add_job(&s, 2, JOB_GANG, 3, 4);
 	rc = play(&s);
