Rentals for all that waits, gangs in one zone, lists read as a whole; questions by fleet

GPU machines came up until 120 s after the start. Ruled out: the cloud's refusals (capacity was there). Now rooms are walked once a shape, a gang's zone is where most of it is on its way, and one allowance from cloud.rps serves lists, returns and rentals. Direct commands hold an eighth of the sockets at most; questions a second follow the number of machines; the walk over all machines for each event while commands wait is gone.

--- a/src/constants.h
+++ b/src/constants.h
@@ -100,10 +100,14 @@
 	1.0		    /* seconds beyond the worker's lease: its tasks are lost anyway        \
 			     */
 #define MACHINE_ASK_S 1.0   /* seconds between questions to one machine */
-#define ASKS_PER_S 40.0	    /* questions a second to all: each costs as much as a report */
+#define ASKS_PER_S 40.0	    /* questions a second to all at least: each costs as much as a report */
+#define ASK_ALL_LEASES 0.5  /* leases within which all machines can be asked */
+#define DIRECT_SHARE 0.125  /* share of the sockets that direct commands and questions may hold */
 #define MACHINE_UNHEEDED 2  /* reports in a row that ignore a start: one answer may be lost */
 #define MACHINE_DEAF_S 60.0 /* seconds a machine that does not hear us is kept */
 #define MACHINE_SHOW_S 3.0  /* seconds between questions to a machine not heard of this term */
+#define MACHINE_SHOW_REPORTS 2.0 /* report intervals in which all find a new leader by themselves  \
+				  */
 #define MACHINE_BOOT_FACTOR                                                                        \
 	3.0 /* times the boot time before a machine counts as never coming up                      \
 	     */
@@ -158,10 +162,13 @@
 #define ROUND_NO_MAX 32	    /* shapes without room remembered in a round */
 
 /* --- rentals --- */
-#define RENT_EVERY_S 0.5	 /* seconds between looks at what is missing */
-#define RENT_AFTER_S 0.3	 /* seconds a task waits before machines are rented for it */
-#define RENT_SETTLE_S 4.0	 /* seconds after a take-over: workers have yet to report */
-#define RENT_REQUESTS 2		 /* requests per look: the cloud's rate has other uses */
+#define RENT_EVERY_S 0.5  /* seconds between looks at what is missing */
+#define RENT_AFTER_S 0.3  /* seconds a task waits before machines are rented for it */
+#define RENT_SETTLE_S 4.0 /* seconds after a take-over: workers have yet to report */
+#define RENT_SHAPES_MAX                                                                            \
+	64		/* shapes and zones remembered while it is planned: others are slower      \
+			 */
+#define CLOUD_SHARE 0.9 /* share of the cloud's rate: clocks differ, a late turn sends at once */
 #define RENT_GIVE_UP_S 30.0	 /* seconds a request without an answer is repeated */
 #define RENT_SPOT_S 5.0		 /* seconds: a spot machine may be taken back */
 #define RENT_GPU_WASTE_S 100.0	 /* seconds: GPUs are rented for those who use them */
@@ -173,7 +180,6 @@
 #define RENT_REFUSED_S 10.0 /* seconds before a refused type, zone and kind is asked again */
 #define RENT_REFUSED_MAX_S 40.0 /* seconds: capacity may come back any time */
 #define RENT_BATCH_MAX 50	/* machines per request, from the protocol */
-#define RENT_TASKS_MAX 400	/* waiting tasks looked at per round */
 #define DELETE_BATCH_MAX 100	/* names per request, from the protocol */
 #define CLOUD_BACKOFF_S 1.5	/* seconds after 429, 503 or no answer */
 #define CATALOG_EVERY_S 60.0	/* seconds between reads of prices by the leader */
--- a/src/core/load.c
+++ b/src/core/load.c
@@ -267,6 +267,7 @@
 
 	commit_clear(c);
 	rent_clear(c);
+	c->kicked = NULL;
 	HASH_ITER (hh, c->machines, m, mtmp) {
 		struct binding *b, *tmp;
 
--- a/src/core/machines.c
+++ b/src/core/machines.c
@@ -153,6 +153,17 @@
 	return c->now - since > most;
 }
 
+/*
+ * Asks a machine that has not been heard of in this term. All report to a new leader by themselves
+ * within two intervals; a question to each before that would cost it as much again.
+ */
+void machine_show(struct core *c, struct machine *m)
+{
+	if (m->last_word < 0 && c->now - m->asked_at > MACHINE_SHOW_S &&
+	    c->now - c->lead_since > MACHINE_SHOW_REPORTS * c->conf->report_s)
+		workers_ask(c, m);
+}
+
 static void machine_look(struct core *c, struct machine *m)
 {
 	bool vanished = m->missing >= MACHINE_GONE_LISTS && !machine_fresh(c, m);
@@ -170,9 +181,8 @@
 		return;
 	}
 	/* Known from a record or the list, but not heard of under this leader. */
-	if (m->last_word < 0 && *m->addr && m->nbindings && c->now - m->asked_at > MACHINE_SHOW_S &&
-	    c->now - c->lead_since > c->conf->report_s)
-		workers_ask(c, m);
+	if (m->nbindings)
+		machine_show(c, m);
 	/* Deaf since long, while the lease must have taken its tasks: it is replaced. */
 	if (!m->hears && !m->nbindings && c->now - m->deaf_since > MACHINE_DEAF_S) {
 		log_info("machine_deaf_returned", "machine=%s", m->id);
@@ -209,6 +219,7 @@
 	HASH_ITER (hh, c->machines, m, tmp) {
 		machine_look(c, m);
 		if (m->gone && !m->bindings) {
+			workers_unkick(c, m);
 			HASH_DEL(c->machines, m);
 			free(m->left);
 			free(m);
--- a/src/core/place.c
+++ b/src/core/place.c
@@ -60,18 +60,6 @@
 			  x->mem_gb - n * h->spec.mem_gb, s);
 }
 
-static bool same_shape(const struct job_spec *a, const struct job_spec *b)
-{
-	if (a->cpus != b->cpus || a->gpus != b->gpus || a->mem_gb != b->mem_gb ||
-	    a->spot != b->spot || a->one_zone != b->one_zone || a->spread != b->spread ||
-	    a->ntypes != b->ntypes || strcmp(a->zone, b->zone))
-		return false;
-	for (int i = 0; i < a->ntypes; i++)
-		if (strcmp(a->types[i], b->types[i]))
-			return false;
-	return true;
-}
-
 /* A job with room held, or with tasks somewhere, sees other room than its shape alone tells. */
 static bool shape_known(const struct job *j)
 {
--- a/src/core/rent.c
+++ b/src/core/rent.c
@@ -7,6 +7,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "core/round.h"
 #include "core/state.h"
 #include "util/log.h"
 #include "wire/names.h"
@@ -147,8 +148,8 @@
 	m->list_round = c->list_round;
 	if (l->state == LS_FAILED)
 		m->failed = true;
-	if (m->last_word < 0 && l->state == LS_RUNNING && c->now - m->asked_at > MACHINE_SHOW_S)
-		workers_ask(c, m);
+	if (l->state == LS_RUNNING)
+		machine_show(c, m);
 }
 
 static void list_ended(struct core *c)
@@ -162,12 +163,27 @@
 	c->next_list = c->now + LISTED_EVERY_S;
 }
 
+/* The cloud's rate is shared by lists, returns and rentals, whichever comes first in a look. */
+static bool cloud_take(struct core *c)
+{
+	double rate = c->conf->cloud_rps * CLOUD_SHARE;
+
+	c->cloud_tokens = fmin(rate, c->cloud_tokens + (c->now - c->cloud_filled) * rate);
+	c->cloud_filled = c->now;
+	if (c->cloud_tokens < 1)
+		return false;
+	c->cloud_tokens -= 1;
+	return true;
+}
+
 static void cloud_trouble(struct core *c, int status)
 {
 	if (status != 200)
 		c->cloud_again = c->now + CLOUD_BACKOFF_S;
 }
 
+static void ask_list(struct core *c);
+
 static void on_list(struct core *c, struct call *call, int status, const char *body, size_t len)
 {
 	struct listed_machine *list;
@@ -182,10 +198,14 @@
 		return;
 	for (size_t i = 0; i < n; i++)
 		take_listed(c, &list[i]);
-	if (more && n)
+	if (more && n) {
 		snprintf(c->list_after, sizeof(c->list_after), "%s", list[n - 1].id);
-	else
+		/* A fleet's list has several pages: they are one list only if read together. */
+		if (cloud_take(c))
+			ask_list(c);
+	} else {
 		list_ended(c);
+	}
 	free(list);
 }
 
@@ -308,7 +328,22 @@
 	free(d);
 }
 
-static bool send_deletes(struct core *c)
+static bool delete_due(const struct machine *m)
+{
+	return m->deleting && !m->delete_out && !m->gone;
+}
+
+static bool deletes_due(const struct core *c)
+{
+	const struct machine *m, *tmp;
+
+	HASH_ITER (hh, c->machines, m, tmp)
+		if (delete_due(m))
+			return true;
+	return false;
+}
+
+static void send_deletes(struct core *c)
 {
 	struct delete_req *d = calloc(1, sizeof(*d));
 	const char *ids[DELETE_BATCH_MAX];
@@ -317,21 +352,16 @@
 	if (!d)
 		abort();
 	HASH_ITER (hh, c->machines, m, tmp) {
-		if (!m->deleting || m->delete_out || m->gone || d->n == DELETE_BATCH_MAX)
+		if (!delete_due(m) || d->n == DELETE_BATCH_MAX)
 			continue;
 		m->delete_out = true;
 		snprintf(d->ids[d->n], ID_MAX, "%s", m->id);
 		ids[d->n] = d->ids[d->n];
 		d->n++;
 	}
-	if (!d->n) {
-		free(d);
-		return false;
-	}
 	core_call(c, c->conf->cloud, "POST", fmt_path(W_PATH_DELETE), wire_delete(ids, d->n),
 		  CALL_CLOUD_S, on_delete, d)
 	    ->drop = free;
-	return true;
 }
 
 /* --- what is missing --- */
@@ -339,16 +369,26 @@
 /* Room that is there or will be: a live machine's rest, one that boots, one to be rented. */
 struct vroom {
 	const struct machine_type *type;
-	char zone[NAME_MAX_LEN];
+	const char *zone;
 	bool spot;
 	bool wanted; /* to be rented now */
 	bool live;
 	double cpus, gpus, mem_gb;
 };
 
+/* Rooms before `at` are too small for a shape in a zone: while a plan is made they only shrink. */
+struct fit_from {
+	const struct job_spec *spec;
+	const char *zone; /* NULL: anywhere */
+	bool live;
+	size_t at;
+};
+
 struct plan {
 	struct vroom *v;
 	size_t n, cap;
+	struct fit_from from[RENT_SHAPES_MAX];
+	size_t nfrom;
 };
 
 static struct vroom *plan_add(struct plan *p, const struct machine_type *t, const char *zone,
@@ -365,7 +405,7 @@
 	v = &p->v[p->n++];
 	memset(v, 0, sizeof(*v));
 	v->type = t;
-	snprintf(v->zone, sizeof(v->zone), "%s", zone);
+	v->zone = zone;
 	v->spot = spot;
 	v->cpus = t->cpus;
 	v->gpus = t->gpus;
@@ -384,12 +424,37 @@
 	return true;
 }
 
-static bool plan_fit(struct plan *p, const struct job_spec *s, bool live)
+/* Where to begin to look, kept from one look to the next; NULL: none kept. */
+static struct fit_from *fit_from(struct plan *p, const struct job_spec *s, bool live,
+				 const char *zone)
 {
-	for (size_t i = 0; i < p->n; i++)
-		if ((live || !p->v[i].live) && vroom_take(&p->v[i], s))
-			return true;
-	return false;
+	struct fit_from *f;
+
+	for (size_t i = 0; i < p->nfrom; i++) {
+		f = &p->from[i];
+		if (f->live == live && !f->zone == !zone && (!zone || !strcmp(f->zone, zone)) &&
+		    same_shape(f->spec, s))
+			return f;
+	}
+	if (p->nfrom == RENT_SHAPES_MAX)
+		return NULL;
+	f = &p->from[p->nfrom++];
+	*f = (struct fit_from){.spec = s, .zone = zone, .live = live};
+	return f;
+}
+
+static bool plan_fit(struct plan *p, const struct job_spec *s, bool live, const char *zone)
+{
+	struct fit_from *f = fit_from(p, s, live, zone);
+	size_t i = f ? f->at : 0;
+
+	for (; i < p->n; i++)
+		if ((live || !p->v[i].live) && (!zone || !strcmp(zone, p->v[i].zone)) &&
+		    vroom_take(&p->v[i], s))
+			break;
+	if (f)
+		f->at = i;
+	return i < p->n;
 }
 
 static void refusal_key(char *key, size_t cap, const char *type, const char *zone, bool spot)
@@ -459,8 +524,9 @@
 	       (s->gpus <= 0 && t->gpus > 0 ? RENT_GPU_WASTE_S : 0);
 }
 
+/* In the zone `only`, or anywhere. */
 static bool plan_rent(struct core *c, struct plan *p, const struct job_spec *s, uint32_t tasks,
-		      bool only_spot)
+		      bool only_spot, const char *only)
 {
 	const struct machine_type *best = NULL;
 	double best_cost = INFINITY;
@@ -474,7 +540,8 @@
 			for (int k = 0; k < 2; k++) {
 				double cost;
 
-				if ((only_spot && !k) || !machine_allowed(t, t->zones[z], k, s) ||
+				if ((only_spot && !k) || (only && strcmp(only, t->zones[z])) ||
+				    !machine_allowed(t, t->zones[z], k, s) ||
 				    refused(c, t->name, t->zones[z], k))
 					continue;
 				cost = rent_cost(c, t, k, s, tasks) *
@@ -490,7 +557,7 @@
 	if (!best)
 		return false;
 	plan_add(p, best, zone, spot)->wanted = true;
-	return plan_fit(p, s, false);
+	return plan_fit(p, s, false, only);
 }
 
 static void plan_known(struct core *c, struct plan *p)
@@ -533,26 +600,78 @@
 	       left > RENT_ESTIMATE_FACTOR * j->spec.estimate_s + RENT_LEAD_S;
 }
 
+/* Tasks of the job that the rooms of the zone that are to come would take, up to `most`. */
+static uint32_t zone_coming(struct plan *p, const struct job_spec *s, const char *zone,
+			    uint32_t most)
+{
+	const struct fit_from *f = fit_from(p, s, false, zone);
+	uint32_t n = 0;
+
+	for (size_t i = f ? f->at : 0; i < p->n && n < most; i++) {
+		const struct vroom *v = &p->v[i];
+
+		if (!v->live && !strcmp(v->zone, zone) &&
+		    machine_allowed(v->type, v->zone, v->spot, s))
+			n += room_slots(v->cpus, v->gpus, v->mem_gb, s);
+	}
+	return n < most ? n : most;
+}
+
+/*
+ * A gang of one zone gains nothing from room spread over several: it is planned where most of it is
+ * on its way already, else where it is cheapest.
+ */
+static const char *plan_zone(struct core *c, struct plan *p, const struct job_spec *s)
+{
+	const char *best = NULL;
+	uint32_t most = 0, n;
+
+	if (!s->one_zone || s->ntasks == 1 || s->kind == JOB_ARRAY)
+		return NULL;
+	for (size_t i = 0; i < c->ntypes; i++) {
+		const struct machine_type *t = &c->types[i];
+
+		for (int z = 0; z < t->nzones; z++) {
+			if (best && !strcmp(best, t->zones[z]))
+				continue;
+			n = zone_coming(p, s, t->zones[z], s->ntasks);
+			if (n > most) {
+				most = n;
+				best = t->zones[z];
+			}
+		}
+	}
+	return best;
+}
+
+static void plan_job(struct core *c, struct plan *p, const struct job *j)
+{
+	const struct job_spec *s = &j->spec;
+	const char *zone = plan_zone(c, p, s);
+	uint32_t n = job_waiting(j);
+
+	for (uint32_t k = 0; k < n && team_has_room(c, s, k + 1); k++) {
+		if (plan_fit(p, s, false, zone))
+			continue;
+		if (!plan_rent(c, p, s, n - k, can_wait(c, j), zone) &&
+		    !(zone && plan_rent(c, p, s, n - k, can_wait(c, j), NULL)))
+			break;
+		if (!zone && s->one_zone && s->kind != JOB_ARRAY)
+			zone = p->v[p->n - 1].zone;
+	}
+}
+
 /* Waiting tasks that their team may run now; they fit on no live machine, or they would run. */
 static void plan_waiting(struct core *c, struct plan *p)
 {
-	uint32_t looked = 0;
 	struct job *j, *tmp;
 
 	HASH_ITER (hh, c->jobs, j, tmp) {
-		uint32_t n = job_waiting(j), k;
-
-		if (!n || c->now < j->not_before || (j->bindings && j->spec.kind == JOB_GANG))
+		if (!job_waiting(j) || c->now < j->not_before ||
+		    (j->bindings && j->spec.kind == JOB_GANG) ||
+		    c->wall - j->submitted < RENT_AFTER_S)
 			continue;
-		if (c->wall - j->submitted < RENT_AFTER_S)
-			continue;
-		for (k = 0; k < n && looked < RENT_TASKS_MAX; k++, looked++) {
-			if (!team_has_room(c, &j->spec, k + 1))
-				break;
-			if (!plan_fit(p, &j->spec, false) &&
-			    !plan_rent(c, p, &j->spec, n - k, can_wait(c, j)))
-				break;
-		}
+		plan_job(c, p, j);
 	}
 }
 
@@ -600,8 +719,8 @@
 		uint32_t want = (uint32_t)(share * use[i].tasks) + HEADROOM_LAVISH_MIN;
 
 		for (uint32_t k = 0; k < want; k++)
-			if (!plan_fit(p, use[i].spec, true) &&
-			    !plan_rent(c, p, use[i].spec, want - k, false))
+			if (!plan_fit(p, use[i].spec, true, NULL) &&
+			    !plan_rent(c, p, use[i].spec, want - k, false, NULL))
 				break;
 	}
 }
@@ -661,14 +780,23 @@
 	snprintf(call->key, sizeof(call->key), "%s", q->name);
 }
 
-/* One request for all wanted machines of the first wanted type, zone and kind. */
-static bool rent_first(struct core *c, struct plan *p)
+static bool plan_wanted(const struct plan *p)
+{
+	for (size_t i = 0; i < p->n; i++)
+		if (p->v[i].wanted)
+			return true;
+	return false;
+}
+
+/* One request for wanted machines of the first wanted type, zone and kind, as many as it takes. */
+static void rent_first(struct core *c, struct plan *p)
 {
 	struct vroom *first = NULL;
-	struct rent_req *q;
-	int n = 0;
+	struct rent_req *q = calloc(1, sizeof(*q));
 
-	for (size_t i = 0; i < p->n; i++) {
+	if (!q)
+		abort();
+	for (size_t i = 0; i < p->n && q->count < RENT_BATCH_MAX; i++) {
 		struct vroom *v = &p->v[i];
 
 		if (!v->wanted)
@@ -678,52 +806,38 @@
 		if (v->type != first->type || strcmp(v->zone, first->zone) ||
 		    v->spot != first->spot)
 			continue;
-		n += n < RENT_BATCH_MAX;
-		if (v != first)
-			v->wanted = false;
+		v->wanted = false;
+		q->count++;
 	}
-	if (!first)
-		return false;
-	first->wanted = false;
-	q = calloc(1, sizeof(*q));
-	if (!q)
-		abort();
 	snprintf(q->name, sizeof(q->name), "r-%llu-%u", (unsigned long long)c->el.token,
 		 ++c->rent_counter);
 	snprintf(q->type, sizeof(q->type), "%s", first->type->name);
 	snprintf(q->zone, sizeof(q->zone), "%s", first->zone);
 	q->spot = first->spot;
-	q->count = n;
 	q->since = c->now;
 	DL_APPEND(c->rents, q);
 	rent_send(c, q);
-	return true;
 }
 
 static void rent_look(struct core *c)
 {
 	struct plan p = {0};
-	int sent = 0;
 
 	plan_known(c, &p);
 	plan_waiting(c, &p);
 	plan_headroom(c, &p);
-	while (sent < RENT_REQUESTS && rent_first(c, &p))
-		sent++;
+	while (plan_wanted(&p) && cloud_take(c))
+		rent_first(c, &p);
 	free(p.v);
 }
 
-static bool rent_again(struct core *c)
+static void rent_again(struct core *c)
 {
 	struct rent_req *q;
 
-	DL_FOREACH (c->rents, q) {
-		if (!q->out && c->now >= q->again) {
+	DL_FOREACH (c->rents, q)
+		if (!q->out && c->now >= q->again && cloud_take(c))
 			rent_send(c, q);
-			return true;
-		}
-	}
-	return false;
 }
 
 void rent_tick(struct core *c)
@@ -734,11 +848,12 @@
 	return_look(c);
 	if (c->now < c->cloud_again || !c->types)
 		return;
-	if (!c->list_out && c->now >= c->next_list)
+	if (!c->list_out && c->now >= c->next_list && cloud_take(c))
 		ask_list(c);
-	else if (send_deletes(c) || rent_again(c))
-		return;
-	else if (c->now - c->lead_since > RENT_SETTLE_S)
+	while (deletes_due(c) && cloud_take(c))
+		send_deletes(c);
+	rent_again(c);
+	if (c->now - c->lead_since > RENT_SETTLE_S)
 		rent_look(c);
 }
 
@@ -763,4 +878,6 @@
 	c->list_out = false;
 	c->list_after[0] = 0;
 	c->next_list = c->next_rent = c->cloud_again = 0;
+	c->cloud_tokens = 0;
+	c->cloud_filled = c->now;
 }
--- a/src/core/round.c
+++ b/src/core/round.c
@@ -100,3 +100,15 @@
 		n = fmin(n, (mem_gb + ROOM_SLACK) / s->mem_gb);
 	return n > 0 ? (uint32_t)n : 0;
 }
+
+bool same_shape(const struct job_spec *a, const struct job_spec *b)
+{
+	if (a->cpus != b->cpus || a->gpus != b->gpus || a->mem_gb != b->mem_gb ||
+	    a->spot != b->spot || a->one_zone != b->one_zone || a->spread != b->spread ||
+	    a->ntypes != b->ntypes || strcmp(a->zone, b->zone))
+		return false;
+	for (int i = 0; i < a->ntypes; i++)
+		if (strcmp(a->types[i], b->types[i]))
+			return false;
+	return true;
+}
--- a/src/core/round.h
+++ b/src/core/round.h
@@ -53,6 +53,8 @@
 void round_take(struct round *r, const struct machine *m, const struct job_spec *s);
 /* Marks the pools that the job may use. */
 void round_allow(struct round *r, const struct job_spec *s);
+/* Whether what suits one suits the other. */
+bool same_shape(const struct job_spec *a, const struct job_spec *b);
 uint32_t room_slots(double cpus, double gpus, double mem_gb, const struct job_spec *s);
 /* Seconds that placing here costs, as far as can be told. */
 double place_cost(const struct machine *m, const struct job *j);
--- a/src/core/state.h
+++ b/src/core/state.h
@@ -101,7 +101,9 @@
 	size_t nleft;
 	uint64_t loose_token; /* newest token of an unanswered command to start */
 	int do_out;
-	bool kick; /* commands wait to be sent directly */
+	bool kick;   /* commands wait to be sent directly */
+	bool queued; /* in the list of those whose turn it is */
+	struct machine *kprev, *knext;
 
 	/* the cloud */
 	bool listed;
@@ -333,8 +335,8 @@
 	bool jobs_watching;
 	double jobs_watch_again;
 	bool round_due;
-	bool kicks;
-	bool *peer_live; /* by its last answer */
+	struct machine *kicked; /* commands wait for them, longest waiting first */
+	bool *peer_live;	/* by its last answer */
 	double next_pair;
 	uint64_t switches; /* made since this process began */
 	double next_round, round_again, next_machines, next_jobs;
@@ -342,6 +344,7 @@
 
 	/* rentals */
 	double next_rent, next_list, cloud_again;
+	double cloud_tokens, cloud_filled; /* requests to the cloud that may be made now */
 	bool list_out;
 	char list_after[ID_MAX];
 	struct rent_req *rents;
@@ -350,6 +353,7 @@
 	uint32_t rent_counter;
 	uint64_t list_round;
 	double asks, asks_filled; /* questions to workers that may be asked now */
+	int directs;		  /* direct commands and questions under way: each holds a socket */
 };
 
 /* core.c */
@@ -436,6 +440,7 @@
 bool machine_buried(struct core *c, const char *id);
 void machine_gone(struct core *c, struct machine *m);
 void machine_tick(struct core *c);
+void machine_show(struct core *c, struct machine *m);
 bool machine_fresh(const struct core *c, const struct machine *m);
 bool machine_usable(const struct core *c, const struct machine *m);
 bool machine_allowed(const struct machine_type *t, const char *zone, bool spot,
@@ -452,6 +457,7 @@
 /* workers.c */
 void workers_beat(struct core *c, const struct core_request *r);
 void workers_kick(struct core *c, struct machine *m);
+void workers_unkick(struct core *c, struct machine *m);
 bool workers_ask(struct core *c, struct machine *m);
 void workers_tick(struct core *c);
 void workers_fenced(struct core *c);
--- a/src/core/workers.c
+++ b/src/core/workers.c
@@ -446,10 +446,27 @@
 	wire_report_free(&rep);
 }
 
+static void kick_queue(struct core *c, struct machine *m)
+{
+	if (m->queued)
+		return;
+	m->queued = true;
+	DL_APPEND2(c->kicked, m, kprev, knext);
+}
+
+static void kick_unqueue(struct core *c, struct machine *m)
+{
+	if (!m->queued)
+		return;
+	m->queued = false;
+	DL_DELETE2(c->kicked, m, kprev, knext);
+}
+
 static void on_do(struct core *c, struct call *call, int status, const char *body, size_t len)
 {
 	struct machine *m;
 
+	c->directs--;
 	if (election_stale(c, call))
 		return;
 	m = machine_find(c, call->key);
@@ -457,6 +474,8 @@
 		return;
 	if (m->do_out)
 		m->do_out--;
+	if (m->kick)
+		kick_queue(c, m); /* what has gathered meanwhile */
 	if (status == 0 && call->starts && call->token > m->loose_token) {
 		m->loose_token = call->token;
 		log_debug("do_unanswered", "machine=%s", m->id);
@@ -467,10 +486,31 @@
 
 static void on_show(struct core *c, struct call *call, int status, const char *body, size_t len)
 {
+	c->directs--;
 	if (!election_stale(c, call) && status == 200)
 		take_answer(c, call, body, len);
 }
 
+/*
+ * Machines that are gone keep a socket for each command or question until it is given up. When many
+ * go at once, the sockets that callers need must not all wait for them.
+ */
+static bool directs_full(const struct core *c)
+{
+	return c->directs >= c->conf->max_connections * DIRECT_SHARE;
+}
+
+/*
+ * Questions a second: enough to ask all machines well within a lease, however many there are. While
+ * they find a new leader by themselves, a few are enough.
+ */
+static double asks_per_s(const struct core *c)
+{
+	if (c->now - c->lead_since < MACHINE_SHOW_REPORTS * c->conf->report_s)
+		return ASKS_PER_S;
+	return fmax(ASKS_PER_S, HASH_COUNT(c->machines) / (ASK_ALL_LEASES * c->conf->lease_s));
+}
+
 /* What is known when a question leaves: the answer must be newer. */
 static void call_mark(struct core *c, struct call *call, const struct machine *m)
 {
@@ -483,11 +523,14 @@
 /* Asks the worker for its report; false if too many were asked of late. */
 bool workers_ask(struct core *c, struct machine *m)
 {
-	c->asks = fmin(ASKS_PER_S, c->asks + (c->now - c->asks_filled) * ASKS_PER_S);
+	double rate = asks_per_s(c);
+
+	c->asks = fmin(rate, c->asks + (c->now - c->asks_filled) * rate);
 	c->asks_filled = c->now;
-	if (!*m->addr || c->asks < 1 || c->now - m->asked_at < MACHINE_ASK_S)
+	if (!*m->addr || c->asks < 1 || c->now - m->asked_at < MACHINE_ASK_S || directs_full(c))
 		return false;
 	c->asks -= 1;
+	c->directs++;
 	m->asked_at = c->now;
 	call_mark(c,
 		  core_call(c, m->addr, "GET", fmt_path(W_PATH_STATUS), NULL, CALL_WORKER_S,
@@ -499,7 +542,14 @@
 void workers_kick(struct core *c, struct machine *m)
 {
 	m->kick = true;
-	c->kicks = true;
+	if (!m->do_out) /* one at a time: what has gathered goes with the next */
+		kick_queue(c, m);
+}
+
+void workers_unkick(struct core *c, struct machine *m)
+{
+	m->kick = false;
+	kick_unqueue(c, m);
 }
 
 static void send_direct(struct core *c, struct machine *m)
@@ -511,6 +561,7 @@
 	if (!l.n)
 		return;
 	m->do_out++;
+	c->directs++;
 	call = core_call(c, m->addr, "POST", fmt_path(W_PATH_COMMANDS),
 			 wire_direct_commands(c->el.token, m->session, l.items, l.n), CALL_WORKER_S,
 			 on_do, NULL);
@@ -520,19 +571,10 @@
 
 void workers_tick(struct core *c)
 {
-	struct machine *m, *tmp;
+	struct machine *m;
 
-	if (!c->kicks)
-		return;
-	c->kicks = false;
-	HASH_ITER (hh, c->machines, m, tmp) {
-		if (!m->kick)
-			continue;
-		if (m->do_out) {
-			c->kicks = true; /* one at a time: what has gathered goes with the next */
-			continue;
-		}
-		m->kick = false;
+	while ((m = c->kicked) && !directs_full(c)) {
+		workers_unkick(c, m);
 		if (m->session && *m->addr && !m->gone && machine_fresh(c, m))
 			send_direct(c, m);
 	}
