Under overload small gangs first, arrays leave them room, far aims gather later

Cause (busy, restart and loss of both fleet sites, by size, from logs): more gangs wait than there is room, for minutes. Large ones as old went first (a gang of 16 takes what eight of two would), array tasks took each slot that fell free and were stopped again within seconds (120 in 20 s of 70 bound), and gangs past their aims stopped arrays that needed their slots. Now, within one aim, small gangs go first; array tasks beyond their need take only room that no waiting gang could use; gangs past all aims gather instead of stopping arrays that need their slots for a deadline; who gathers is served before others take what falls free; with the next aim far, gathering begins later.

--- a/src/constants.h
+++ b/src/constants.h
@@ -106,8 +106,9 @@
 #define MACHINE_UNHEEDED 2  /* reports in a row that ignore a start: one answer may be lost */
 #define MACHINE_DEAF_S 60.0 /* seconds a machine that does not hear us is kept */
 #define MACHINE_SHOW_S 3.0  /* seconds between questions to a machine not heard of this term */
-#define MACHINE_SHOW_REPORTS 2.0 /* report intervals in which all find a new leader by themselves  \
-				  */
+#define MACHINE_SHOW_REPORTS                                                                       \
+	2.0 /* report intervals in which all find a new leader by themselves                       \
+	     */
 #define MACHINE_BOOT_FACTOR                                                                        \
 	3.0 /* times the boot time before a machine counts as never coming up                      \
 	     */
@@ -144,6 +145,7 @@
 	45.0 /* seconds a gang waits before room is held for it as it falls free:                  \
 	      */
 /* within four minutes it has to begin, others are to be served too */
+#define GATHER_LEAD_S 60.0     /* seconds before a far aim: large gangs took up to 40 to gather */
 #define GATHER_MOST 2	       /* gangs that hold so at once: held room is idle room */
 #define GATHER_LATE_S 100.0    /* seconds of waiting after which more of them may */
 #define GATHER_MOST_LATE 4     /* then */
@@ -159,6 +161,7 @@
 #define ORDINARY_S 4.0	   /* seconds: an ordinary machine's worth to those who need one */
 #define ROOM_SLACK 1e-6	   /* CPUs, GPUs, GB: sums of decimal amounts */
 #define ROUND_POOLS_MAX 256 /* kinds of machines told apart: types times zones times two */
+#define ROUND_WANTED_MAX 8  /* shapes of waiting gangs whose room is left to them in a round */
 #define ROUND_NO_MAX 32	    /* shapes without room remembered in a round */
 
 /* --- rentals --- */
--- a/src/core/place.c
+++ b/src/core/place.c
@@ -82,6 +82,37 @@
 	r->no[r->nno++].tasks = tasks;
 }
 
+/* Called right after the pools that the gang may use were marked. */
+static void note_wanted(struct round *r, const struct job *j)
+{
+	struct wanted *w;
+
+	for (size_t i = 0; i < r->nwanted; i++)
+		if (same_shape(r->wanted[i].spec, &j->spec))
+			return;
+	if (r->nwanted == ROUND_WANTED_MAX)
+		return;
+	w = &r->wanted[r->nwanted++];
+	w->spec = &j->spec;
+	for (size_t i = 0; i < r->npools; i++)
+		w->pools[i] = r->pools[i].allowed;
+}
+
+/* Whether a task here would take room that a waiting gang of higher priority gathers its tasks in.
+ */
+static bool takes_wanted(const struct round *r, const struct spot_room *x, const struct job_spec *s)
+{
+	for (size_t i = 0; i < r->nwanted; i++) {
+		const struct wanted *w = &r->wanted[i];
+
+		if (w->spec->priority < s->priority && w->pools[x->pool] &&
+		    room_slots(x->cpus - s->cpus, x->gpus - s->gpus, x->mem_gb - s->mem_gb,
+			       w->spec) < room_slots(x->cpus, x->gpus, x->mem_gb, w->spec))
+			return true;
+	}
+	return false;
+}
+
 static uint32_t in_zone(const struct job *j, const char *zone)
 {
 	const struct binding *b;
@@ -255,12 +286,14 @@
 			return bind_gang(r, j, zone);
 	}
 	note_no_room(r, j, j->spec.ntasks);
+	note_wanted(r, j);
 	return false;
 }
 
 /* --- arrays and services --- */
 
-static struct machine *best_machine(struct round *r, struct job *j)
+/* `spare`: only room that no waiting gang could use. */
+static struct machine *best_machine(struct round *r, struct job *j, bool spare)
 {
 	const char *held = job_held_zone(j);
 	struct machine *best = NULL;
@@ -273,7 +306,7 @@
 		double cost = p->pool_cost;
 
 		if (!p->allowed || cost >= best_cost || !slots_for(x, j) ||
-		    (held && strcmp(held, p->zone)))
+		    (held && strcmp(held, p->zone)) || (spare && takes_wanted(r, x, &j->spec)))
 			continue;
 		cost += place_cost(x->m, j);
 		if (cost < best_cost && zone_rest(j, p->zone)) {
@@ -295,7 +328,7 @@
 	return t;
 }
 
-static bool place_task(struct round *r, struct job *j)
+static bool place_task(struct round *r, struct job *j, bool spare)
 {
 	struct machine *m;
 	uint32_t task;
@@ -305,9 +338,10 @@
 	task = next_task(r->c, j);
 	if (task >= j->spec.ntasks)
 		return false;
-	m = best_machine(r, j);
+	m = best_machine(r, j, spare);
 	if (!m) {
-		note_no_room(r, j, 1);
+		if (!spare)
+			note_no_room(r, j, 1);
 		return false;
 	}
 	place(r, j, m, task, new_attempt(r->c));
@@ -319,7 +353,7 @@
 {
 	if (!j->bindings)
 		return place_gang(r, j);
-	while (place_task(r, j))
+	while (place_task(r, j, false))
 		;
 	return job_waiting(j) == 0;
 }
@@ -328,7 +362,7 @@
 
 /* Seconds within which a job's tasks should start, by the first aim that it can still meet; 0:
  * none. */
-static double wait_aim(const struct core *c, const struct job *j)
+double wait_aim(const struct core *c, const struct job *j)
 {
 	double waited = c->wall - j->submitted, best = 0;
 
@@ -344,8 +378,10 @@
 
 /*
  * The order within a priority. When not all can be served in time, first come would make all of
- * them late: gangs that can still meet an aim for their wait go before those that have missed it.
- * Who has waited long goes before all.
+ * them late: gangs that can still meet an aim for their wait go before those that have missed it,
+ * the tightest aim first. Among those, small before large: one large gang's room serves several.
+ * Who has waited long goes before all; so does who gathers room, else others take what falls free
+ * before it is held.
  */
 static double due(const struct core *c, const struct job *j)
 {
@@ -353,10 +389,16 @@
 
 	if (j->spec.kind == JOB_ARRAY)
 		return j->submitted + (j->spec.deadline_s >= 0 ? j->spec.deadline_s : 0);
-	if (c->wall - j->submitted > LATE_FIRST_S)
-		return j->submitted - ORDER_FAR_S;
+	if (j->gathering || c->wall - j->submitted > LATE_FIRST_S)
+		return -ORDER_FAR_S;
 	aim = wait_aim(c, j);
-	return j->submitted + (aim > 0 ? aim : ORDER_FAR_S);
+	return aim > 0 ? aim : ORDER_FAR_S;
+}
+
+/* What a gang takes, for comparison with others alike; an array is served task by task. */
+static double size_of(const struct job *j)
+{
+	return j->spec.kind == JOB_ARRAY || j->due < 0 ? 0 : j->spec.ntasks * j->spec.cpus;
 }
 
 static int by_order(const void *a, const void *b)
@@ -367,6 +409,10 @@
 		return x->spec.priority < y->spec.priority ? -1 : 1;
 	if (x->due != y->due)
 		return x->due < y->due ? -1 : 1;
+	if (size_of(x) != size_of(y))
+		return size_of(x) < size_of(y) ? -1 : 1;
+	if (x->submitted != y->submitted)
+		return x->submitted < y->submitted ? -1 : 1;
 	return strcmp(x->spec.id, y->spec.id);
 }
 
@@ -385,7 +431,7 @@
 	round_allow(r, &j->spec);
 	zone = job_held_zone(j);
 	if (!r->pools[x->pool].allowed || !slots_for(x, j) || !zone_rest(j, m->zone) ||
-	    (zone && strcmp(zone, m->zone)))
+	    (zone && strcmp(zone, m->zone)) || takes_wanted(r, x, &j->spec))
 		return NULL;
 	return j;
 }
@@ -440,6 +486,14 @@
 	}
 }
 
+uint32_t array_need(const struct core *c, struct job *j)
+{
+	struct need n;
+
+	job_need(c, j, &n);
+	return n.slots;
+}
+
 static int by_need(const void *a, const void *b)
 {
 	const struct need *x = a, *y = b;
@@ -468,7 +522,7 @@
 	}
 	qsort(all, k, sizeof(*all), by_need);
 	for (size_t i = 0; i < k; i++)
-		while (all[i].job->nbound < all[i].slots && place_task(r, all[i].job))
+		while (all[i].job->nbound < all[i].slots && place_task(r, all[i].job, false))
 			;
 	free(all);
 }
@@ -477,7 +531,7 @@
 static void serve_grants(struct round *r, struct job **jobs, size_t n)
 {
 	for (size_t i = 0; i < n; i++)
-		if (!jobs[i]->nbound && !place_task(r, jobs[i]))
+		if (!jobs[i]->nbound && !place_task(r, jobs[i], false))
 			plan_room(r, jobs[i]);
 }
 
@@ -497,7 +551,7 @@
 				open++;
 				continue;
 			}
-			if (place_task(r, jobs[i])) {
+			if (place_task(r, jobs[i], true)) {
 				moved = true;
 				open++;
 			} else {
--- a/src/core/plan.c
+++ b/src/core/plan.c
@@ -37,6 +37,13 @@
 
 /* --- what may be stopped --- */
 
+/* Without a task of this kind, the team would still hold all it is guaranteed of CPUs or GPUs. */
+static bool beyond_guarantee(const struct team *t, const struct job_spec *s)
+{
+	return t->cpus - s->cpus >= t->conf->cpus ||
+	       (s->gpus > 0 && t->conf->gpus > 0 && t->gpus - s->gpus >= t->conf->gpus);
+}
+
 /* What the team holds beyond its guarantee was borrowed, and is returned to a team within its own.
  */
 static bool borrowed(const struct core *c, const struct binding *b, const struct job *j)
@@ -49,7 +56,7 @@
 		return false;
 	return own->cpus + n * j->spec.cpus <= own->conf->cpus &&
 	       (j->spec.gpus <= 0 || own->gpus + n * j->spec.gpus <= own->conf->gpus) &&
-	       t->cpus - b->job->spec.cpus >= t->conf->cpus;
+	       beyond_guarantee(t, &b->job->spec);
 }
 
 /*
@@ -69,6 +76,9 @@
 {
 	if (b->job->spec.kind != JOB_ARRAY || b->job->ghost || needs_its_time(c, b))
 		return false;
+	/* A gang that has missed all aims for its wait gathers room instead. */
+	if (wait_aim(c, j) <= 0 && b->job->nbound <= array_need(c, b->job) && !borrowed(c, b, j))
+		return false;
 	return b->job->spec.priority > j->spec.priority || borrowed(c, b, j);
 }
 
@@ -368,6 +378,15 @@
 	return fmax(PREEMPT_AFTER_S, PREEMPT_SHARE * within);
 }
 
+/*
+ * Seconds of waiting before room is held as it falls free. Held room idles, and a large gang's
+ * would serve several small ones: one whose next aim is far can wait for it.
+ */
+static double gather_after(const struct core *c, const struct job *j)
+{
+	return fmin(LATE_FIRST_S, fmax(GATHER_AFTER_S, wait_aim(c, j) - GATHER_LEAD_S));
+}
+
 /* Called in a round for each gang, and each array that holds nothing, that found no room. */
 bool plan_room(struct round *r, struct job *j)
 {
@@ -389,7 +408,7 @@
 	if (stop_lower(r, j, &d))
 		return true;
 	waited = c->wall - j->submitted;
-	if (d.own || j->spec.kind == JOB_ARRAY || waited < GATHER_AFTER_S ||
+	if (d.own || j->spec.kind == JOB_ARRAY || waited < gather_after(c, j) ||
 	    gatherers(c) >= (waited < GATHER_LATE_S ? GATHER_MOST : GATHER_MOST_LATE))
 		return false;
 	gather_begin(r, j);
--- a/src/core/round.h
+++ b/src/core/round.h
@@ -35,6 +35,12 @@
 	uint32_t tasks;
 };
 
+/* Room that a gang of this shape, waiting in this round, could use if there were more of it. */
+struct wanted {
+	const struct job_spec *spec;
+	bool pools[ROUND_POOLS_MAX];
+};
+
 struct round {
 	struct core *c;
 	struct spot_room *rooms;
@@ -45,6 +51,8 @@
 	size_t ncands;
 	struct no_room no[ROUND_NO_MAX];
 	size_t nno;
+	struct wanted wanted[ROUND_WANTED_MAX];
+	size_t nwanted;
 	bool ordinary_wanted; /* some job may not use spot machines */
 };
 
@@ -60,6 +68,12 @@
 double place_cost(const struct machine *m, const struct job *j);
 const char *job_held_zone(const struct job *j);
 
+/* Seconds within which a job's tasks should start, by the first aim that it can still meet; 0:
+ * none. */
+double wait_aim(const struct core *c, const struct job *j);
+/* Slots that an array needs at once for the soonest of its deadlines that it can still meet. */
+uint32_t array_need(const struct core *c, struct job *j);
+
 /* plan.c: room for gangs that find none */
 bool plan_room(struct round *r, struct job *j);
 void plan_release(struct core *c, struct job *j);
