--- a/src/core/rent.c
+++ b/src/core/rent.c
@@ -300,6 +300,26 @@
 	}
 }
 
+static void refusal_key(char *key, size_t cap, const char *type, const char *zone, bool spot)
+{
+	snprintf(key, cap, "%s %s %d", type, zone, spot);
+}
+
+/*
+ * What is returned can be rented again at once. When many machines of a kind that was refused are
+ * lost together, waiting for the refusal's end would leave their work without room meanwhile.
+ */
+static void refusal_lift(struct core *c, const struct machine *m)
+{
+	char key[3 * NAME_MAX_LEN];
+	struct refusal *r;
+
+	refusal_key(key, sizeof(key), m->type_name, m->zone, m->spot);
+	HASH_FIND_STR(c->refusals, key, r);
+	if (r)
+		r->until = r->wait = 0;
+}
+
 struct delete_req {
 	char ids[DELETE_BATCH_MAX][ID_MAX];
 	size_t n;
@@ -322,6 +342,7 @@
 			if (status != 200)
 				continue;
 			tomb_add(c, m->id);
+			refusal_lift(c, m);
 			machine_gone(c, m);
 		}
 	}
@@ -457,11 +478,6 @@
 	return i < p->n;
 }
 
-static void refusal_key(char *key, size_t cap, const char *type, const char *zone, bool spot)
-{
-	snprintf(key, cap, "%s %s %d", type, zone, spot);
-}
-
 static bool refused(struct core *c, const char *type, const char *zone, bool spot)
 {
 	char key[3 * NAME_MAX_LEN];
