Gangs go before all after 140 s, and gatherers may hold a share of the fleet

Now gatherers may hold a twentieth of the fleet's CPUs (two gangs, later four, on small fleets as before), and who has waited 140 s goes first.

--- a/src/constants.h
+++ b/src/constants.h
@@ -147,7 +147,8 @@
 /* within four minutes it has to begin, others are to be served too */
 #define GATHER_LEAD_S 60.0     /* seconds before a far aim: large gangs took up to 40 to gather */
 #define GATHER_MOST 2	       /* gangs that hold so at once: held room is idle room */
-#define GATHER_LATE_S 100.0    /* seconds of waiting after which more of them may */
+#define GATHER_SHARE 0.05      /* share of a fleet's CPUs that may be held so, however many gangs */
+#define GATHER_LATE_S 140.0    /* seconds of waiting after which more of them may */
 #define GATHER_MOST_LATE 4     /* then */
 #define GATHER_HOLD_S 2.0      /* seconds held beyond the last round: rounds come twice a second */
 #define GATHER_USED_SHARE 0.05 /* of room in use that falls free in the seconds that matter */
@@ -156,7 +157,7 @@
 	1.5		   /* times the estimate, for a task that begins anew: often wrong by half \
 			    */
 #define NEED_START_S 10.0  /* seconds to start and fetch, off the time an array has left */
-#define LATE_FIRST_S 100.0 /* seconds of waiting after which a gang goes before all others */
+#define LATE_FIRST_S 140.0 /* seconds of waiting after which a gang goes before all others */
 #define ORDER_FAR_S 1e6	   /* seconds: before or behind all that have a time of their own */
 #define ORDINARY_S 4.0	   /* seconds: an ordinary machine's worth to those who need one */
 #define ROOM_SLACK 1e-6	   /* CPUs, GPUs, GB: sums of decimal amounts */
--- a/src/core/plan.c
+++ b/src/core/plan.c
@@ -280,14 +280,24 @@
 
 /* --- holding room as it falls free --- */
 
-static uint32_t gatherers(struct core *c)
+/*
+ * Held room is idle room: a share of the fleet may be held so, at least that of a few gangs, of
+ * more when some have waited long.
+ */
+static bool may_gather(struct core *c, const struct job *next, double waited)
 {
+	uint32_t most = waited < GATHER_LATE_S ? GATHER_MOST : GATHER_MOST_LATE, n = 0;
+	double held = next->spec.ntasks * next->spec.cpus, all = 0;
+	struct machine *m, *mtmp;
 	struct job *j, *tmp;
-	uint32_t n = 0;
 
-	HASH_ITER (hh, c->jobs, j, tmp)
+	HASH_ITER (hh, c->jobs, j, tmp) {
 		n += j->gathering;
-	return n;
+		held += j->gathering ? j->spec.ntasks * j->spec.cpus : 0;
+	}
+	HASH_ITER (hh, c->machines, m, mtmp)
+		all += m->type && machine_usable(c, m) ? m->type->cpus : 0;
+	return n < most || held <= GATHER_SHARE * all;
 }
 
 static bool may_hold(const struct round *r, const struct spot_room *x, const struct job *j,
@@ -409,7 +419,7 @@
 		return true;
 	waited = c->wall - j->submitted;
 	if (d.own || j->spec.kind == JOB_ARRAY || waited < gather_after(c, j) ||
-	    gatherers(c) >= (waited < GATHER_LATE_S ? GATHER_MOST : GATHER_MOST_LATE))
+	    !may_gather(c, j, waited))
 		return false;
 	gather_begin(r, j);
 	return true;
