--- a/tests/runner.c
+++ b/tests/runner.c
@@ -838,11 +838,11 @@
 				cut_add(w, a, i, until, hold);
 		return;
 	}
-	if (!strncmp(x->w[2], "machine:", 8)) {
-		int last, first = range_word(x->w[2] + 8, &last);
+	if (!strncmp(x->w[1], "machine:", 8)) {
+		int last, first = range_word(x->w[1] + 8, &last);
 
 		for (int i = first; i <= last; i++)
-			cut_add(w, host_word(w, x->w[1]), HOST_WORKERS + i, until, hold);
+			cut_add(w, HOST_WORKERS + i, host_word(w, x->w[2]), until, hold);
 		return;
 	}
 	cut_add(w, host_word(w, x->w[1]), host_word(w, x->w[2]), until, hold);
