Kinds of machines and waiting reads bounded by need; rentals planned up to a second of requests

More than 256 kinds of machines were passed over in a round; reads for users were bounded by 300 whatever the sockets; a job of a hundred thousand tasks would have planned as many rentals.

--- a/src/constants.h
+++ b/src/constants.h
@@ -5,7 +5,7 @@
 #ifndef PLOVERLOFT_CONSTANTS_H
 #define PLOVERLOFT_CONSTANTS_H
 
-#define PLOVERLOFT_VERSION "0.2.0"
+#define PLOVERLOFT_VERSION "0.3.0"
 
 /* --- net --- */
 #define NET_ADDR_MAX 64	      /* bytes: "255.255.255.255:65535" with room */
@@ -54,14 +54,14 @@
 #define CANCEL_MARGIN_S 2.0	 /* seconds off cancel_s: a late turn, and the way of messages */
 
 /* --- users --- */
-#define USER_QUEUE_MAX 400 /* waiting submissions: beyond it 429, they would wait seconds */
-#define USER_READS_MAX 300 /* reads under way for users: beyond it 429 */
-#define USER_WAIT_S 3.5	   /* seconds: a user gives up at 5, the answer has to travel */
-#define ASK_GATHER_S 0.05  /* seconds between reads of changes: questions gather meanwhile */
-#define ASK_AGAIN_S 0.2	   /* seconds before a read that was refused is tried again */
-#define ASK_WAIT_S 1.0	   /* seconds a question waits for that: a poll is given up at 2 */
-#define COUNTS_EVERY_S 2.0 /* seconds between questions for counts: what is shown may lag by 3 */
-#define COUNTS_KEEP_S 6.0  /* seconds the leader's counts are shown */
+#define USER_READS_SHARE 0.25 /* share of the sockets whose users wait for reads: beyond it 429 */
+#define USER_WAIT_S 3.5	      /* seconds: a user gives up at 5, the answer has to travel */
+#define USER_QUEUE_MAX 400    /* waiting submissions: beyond it 429, they would wait seconds */
+#define ASK_GATHER_S 0.05     /* seconds between reads of changes: questions gather meanwhile */
+#define ASK_AGAIN_S 0.2	      /* seconds before a read that was refused is tried again */
+#define ASK_WAIT_S 1.0	      /* seconds a question waits for that: a poll is given up at 2 */
+#define COUNTS_EVERY_S 2.0    /* seconds between questions for counts: what is shown may lag by 3 */
+#define COUNTS_KEEP_S 6.0     /* seconds the leader's counts are shown */
 #define COUNTS_ASKED_S                                                                             \
 	10.0 /* seconds after a poll during which they are asked for: polls come every 5 */
 #define PEER_PING_S                                                                                \
@@ -162,9 +162,8 @@
 #define ORDER_FAR_S 1e6	   /* seconds: before or behind all that have a time of their own */
 #define ORDINARY_S 4.0	   /* seconds: an ordinary machine's worth to those who need one */
 #define ROOM_SLACK 1e-6	   /* CPUs, GPUs, GB: sums of decimal amounts */
-#define ROUND_POOLS_MAX 256 /* kinds of machines told apart: types times zones times two */
-#define ROUND_WANTED_MAX 8  /* shapes of waiting gangs whose room is left to them in a round */
-#define ROUND_NO_MAX 32	    /* shapes without room remembered in a round */
+#define ROUND_WANTED_MAX 8 /* shapes of waiting gangs whose room is left to them in a round */
+#define ROUND_NO_MAX 32	   /* shapes without room remembered in a round */
 
 /* --- rentals --- */
 #define RENT_EVERY_S 0.5  /* seconds between looks at what is missing */
--- a/src/core/place.c
+++ b/src/core/place.c
@@ -85,29 +85,25 @@
 /* Called right after the pools that the gang may use were marked. */
 static void note_wanted(struct round *r, const struct job *j)
 {
-	struct wanted *w;
-
 	for (size_t i = 0; i < r->nwanted; i++)
-		if (same_shape(r->wanted[i].spec, &j->spec))
+		if (same_shape(r->wanted[i], &j->spec))
 			return;
 	if (r->nwanted == ROUND_WANTED_MAX)
 		return;
-	w = &r->wanted[r->nwanted++];
-	w->spec = &j->spec;
 	for (size_t i = 0; i < r->npools; i++)
-		w->pools[i] = r->pools[i].allowed;
+		r->pools[i].wanted |= (uint8_t)(r->pools[i].allowed << r->nwanted);
+	r->wanted[r->nwanted++] = &j->spec;
 }
 
-/* Whether a task here would take room that a waiting gang of higher priority gathers its tasks in.
- */
+/* Whether a task here would take room that a waiting gang of higher priority could use. */
 static bool takes_wanted(const struct round *r, const struct spot_room *x, const struct job_spec *s)
 {
 	for (size_t i = 0; i < r->nwanted; i++) {
-		const struct wanted *w = &r->wanted[i];
+		const struct job_spec *w = r->wanted[i];
 
-		if (w->spec->priority < s->priority && w->pools[x->pool] &&
-		    room_slots(x->cpus - s->cpus, x->gpus - s->gpus, x->mem_gb - s->mem_gb,
-			       w->spec) < room_slots(x->cpus, x->gpus, x->mem_gb, w->spec))
+		if (w->priority < s->priority && (r->pools[x->pool].wanted >> i & 1) &&
+		    room_slots(x->cpus - s->cpus, x->gpus - s->gpus, x->mem_gb - s->mem_gb, w) <
+			room_slots(x->cpus, x->gpus, x->mem_gb, w))
 			return true;
 	}
 	return false;
--- a/src/core/rent.c
+++ b/src/core/rent.c
@@ -408,6 +408,7 @@
 struct plan {
 	struct vroom *v;
 	size_t n, cap;
+	size_t nwanted;
 	struct fit_from from[RENT_SHAPES_MAX];
 	size_t nfrom;
 };
@@ -540,7 +541,10 @@
 	       (s->gpus <= 0 && t->gpus > 0 ? RENT_GPU_WASTE_S : 0);
 }
 
-/* In the zone `only`, or anywhere. */
+/*
+ * In the zone `only`, or anywhere. More than can be asked for in a second need not be planned: a
+ * job may have a hundred thousand tasks.
+ */
 static bool plan_rent(struct core *c, struct plan *p, const struct job_spec *s, uint32_t tasks,
 		      bool only_spot, const char *only)
 {
@@ -549,6 +553,8 @@
 	const char *zone = NULL;
 	bool spot = false;
 
+	if (p->nwanted >= RENT_BATCH_MAX * c->conf->cloud_rps)
+		return false;
 	for (size_t i = 0; i < c->ntypes; i++) {
 		const struct machine_type *t = &c->types[i];
 
@@ -573,6 +579,7 @@
 	if (!best)
 		return false;
 	plan_add(p, best, zone, spot)->wanted = true;
+	p->nwanted++;
 	return plan_fit(p, s, false, only);
 }
 
@@ -796,14 +803,6 @@
 	snprintf(call->key, sizeof(call->key), "%s", q->name);
 }
 
-static bool plan_wanted(const struct plan *p)
-{
-	for (size_t i = 0; i < p->n; i++)
-		if (p->v[i].wanted)
-			return true;
-	return false;
-}
-
 /* One request for wanted machines of the first wanted type, zone and kind, as many as it takes. */
 static void rent_first(struct core *c, struct plan *p)
 {
@@ -823,6 +822,7 @@
 		    v->spot != first->spot)
 			continue;
 		v->wanted = false;
+		p->nwanted--;
 		q->count++;
 	}
 	snprintf(q->name, sizeof(q->name), "r-%llu-%u", (unsigned long long)c->el.token,
@@ -842,7 +842,7 @@
 	plan_known(c, &p);
 	plan_waiting(c, &p);
 	plan_headroom(c, &p);
-	while (plan_wanted(&p) && cloud_take(c))
+	while (p.nwanted && cloud_take(c))
 		rent_first(c, &p);
 	free(p.v);
 }
--- a/src/core/round.c
+++ b/src/core/round.c
@@ -13,8 +13,6 @@
 		if (p->type == m->type && p->spot == m->spot && !strcmp(p->zone, m->zone))
 			return i;
 	}
-	if (r->npools == ROUND_POOLS_MAX)
-		return ROUND_POOLS_MAX;
 	p = &r->pools[r->npools];
 	memset(p, 0, sizeof(*p));
 	p->type = m->type;
@@ -28,8 +26,6 @@
 	size_t pool = pool_of(r, m);
 	struct spot_room *x;
 
-	if (pool == ROUND_POOLS_MAX)
-		return;
 	m->round_at = (uint32_t)r->nrooms;
 	x = &r->rooms[r->nrooms++];
 	x->m = m;
@@ -49,7 +45,8 @@
 	r->c = c;
 	r->rooms = malloc(n * sizeof(*r->rooms));
 	r->cands = malloc(n * sizeof(*r->cands));
-	if (!r->rooms || !r->cands)
+	r->pools = malloc(n * sizeof(*r->pools));
+	if (!r->rooms || !r->cands || !r->pools)
 		abort();
 	HASH_ITER (hh, c->machines, m, tmp)
 		if (machine_usable(c, m))
@@ -62,6 +59,7 @@
 {
 	free(r->rooms);
 	free(r->cands);
+	free(r->pools);
 }
 
 void round_take(struct round *r, const struct machine *m, const struct job_spec *s)
--- a/src/core/round.h
+++ b/src/core/round.h
@@ -14,6 +14,7 @@
 	const char *zone;
 	bool spot;
 	bool allowed;	  /* for the job last given to round_allow */
+	uint8_t wanted;	  /* a bit for each of the round's wanted shapes that may use it */
 	double pool_cost; /* seconds, of what all machines of the pool share */
 };
 
@@ -35,23 +36,18 @@
 	uint32_t tasks;
 };
 
-/* Room that a gang of this shape, waiting in this round, could use if there were more of it. */
-struct wanted {
-	const struct job_spec *spec;
-	bool pools[ROUND_POOLS_MAX];
-};
-
 struct round {
 	struct core *c;
 	struct spot_room *rooms;
 	size_t nrooms;
-	struct pool pools[ROUND_POOLS_MAX];
+	struct pool *pools;
 	size_t npools;
 	struct candidate *cands;
 	size_t ncands;
 	struct no_room no[ROUND_NO_MAX];
 	size_t nno;
-	struct wanted wanted[ROUND_WANTED_MAX];
+	/* Shapes of gangs that wait in this round: they could use more room. */
+	const struct job_spec *wanted[ROUND_WANTED_MAX];
 	size_t nwanted;
 	bool ordinary_wanted; /* some job may not use spot machines */
 };
--- a/src/core/users.c
+++ b/src/core/users.c
@@ -268,7 +268,7 @@
 {
 	if (answer_final(c, u))
 		return;
-	if (c->nreads >= USER_READS_MAX) {
+	if (c->nreads >= USER_READS_SHARE * c->conf->max_connections) {
 		user_fail(c, u, 429, RETRY_AFTER_BUSY_S, "busy");
 		return;
 	}
