What answers our own calls goes before what others ask, a bounded part of it a turn

All events of a turn are looked at now, own answers first, 64 callers after them. The test fails when only the first 64 events are looked at.

--- a/src/constants.h
+++ b/src/constants.h
@@ -10,7 +10,7 @@
 /* --- net --- */
 #define NET_ADDR_MAX 64	      /* bytes: "255.255.255.255:65535" with room */
 #define NET_READ_CHUNK 8192   /* bytes: most messages in one system call */
-#define NET_EVENTS 64	      /* events taken per epoll_wait: bounds one turn */
+#define NET_TURN 64	      /* callers served in a turn: bounds how long our own answers wait */
 #define NET_ACCEPT_BATCH 32   /* connections taken per turn: answers are not starved */
 #define NET_CONNS_RESERVED 64 /* sockets kept back for our own calls to state, cloud, workers */
 #define NET_SLOW_S 10.0	      /* seconds a half-sent request may take: it holds a socket */
--- a/src/net/net.c
+++ b/src/net/net.c
@@ -69,6 +69,7 @@
 	struct conn *dead;    /* list, freed after the round */
 	struct pool *pools;
 	struct conn listeners[2];
+	struct epoll_event *events; /* of one turn: at most one a connection */
 };
 
 static double clock_s(clockid_t c)
@@ -117,6 +118,9 @@
 	n->ctx = ctx;
 	n->max_conns = max_conns;
 	n->idle_s = idle_s;
+	n->events = calloc((size_t)max_conns, sizeof(*n->events));
+	if (!n->events)
+		abort();
 	n->next_id = 1;
 	n->listeners[0].fd = n->listeners[1].fd = -1;
 	return n;
@@ -587,23 +591,43 @@
 	}
 }
 
-void net_poll(struct net *n, double wait_s)
+/*
+ * What answers our own calls goes before what others ask, and only some of that is taken in a turn:
+ * when thousands of workers report at once to a controller that is slow, its renewals must not wait
+ * behind all of them. What is left is told again by the next wait, first come first.
+ */
+static void take_events(struct net *n, int k)
 {
-	struct epoll_event evs[NET_EVENTS];
-	double now;
-	int k, ms = wait_s <= 0 ? 0 : (int)(wait_s * 1000.0) + 1;
+	int left = NET_TURN;
 
-	if (ms > NET_SWEEP_MS)
-		ms = NET_SWEEP_MS;
-	k = epoll_wait(n->ep, evs, NET_EVENTS, ms);
 	for (int i = 0; i < k; i++) {
-		struct conn *c = evs[i].data.ptr;
+		struct conn *c = n->events[i].data.ptr;
+
+		if (c->kind == CONN_CLIENT)
+			conn_event(n, c, n->events[i].events);
+	}
+	for (int i = 0; i < k && left; i++) {
+		struct conn *c = n->events[i].data.ptr;
 
+		if (c->kind == CONN_CLIENT)
+			continue;
+		left--;
 		if (c->kind == CONN_LISTEN)
 			net_accept(n, c);
 		else
-			conn_event(n, c, evs[i].events);
+			conn_event(n, c, n->events[i].events);
 	}
+}
+
+void net_poll(struct net *n, double wait_s)
+{
+	double now;
+	int k, ms = wait_s <= 0 ? 0 : (int)(wait_s * 1000.0) + 1;
+
+	if (ms > NET_SWEEP_MS)
+		ms = NET_SWEEP_MS;
+	k = epoll_wait(n->ep, n->events, n->max_conns, ms);
+	take_events(n, k);
 	now = net_now();
 	if (now >= n->next_sweep) {
 		n->next_sweep = now + NET_SWEEP_MS / 1000.0;
@@ -625,5 +649,6 @@
 		if (n->listeners[i].fd >= 0)
 			close(n->listeners[i].fd);
 	close(n->ep);
+	free(n->events);
 	free(n);
 }
--- a/tests/unit.c
+++ b/tests/unit.c
@@ -338,6 +338,78 @@
 	net_free(n);
 }
 
+/* --- our own answers before callers --- */
+
+#define CROWD (NET_TURN + 20)
+
+struct crowd {
+	struct net *net;
+	int requests, replies;
+};
+
+static void crowd_request(void *ctx, uint64_t conn, enum net_side side, const char *method,
+			  const char *path, const char *body, size_t len)
+{
+	struct crowd *c = ctx;
+
+	(void)side, (void)method, (void)path, (void)body, (void)len;
+	c->requests++;
+	net_answer(c->net, conn, 200, 0, "{}", 2);
+}
+
+static void crowd_reply(void *ctx, uint64_t id, int status, const char *body, size_t len)
+{
+	struct crowd *c = ctx;
+
+	(void)id, (void)body, (void)len;
+	c->replies += status == 200;
+}
+
+/*
+ * More callers than a turn serves have asked, and an answer to a call of ours has come: it is taken
+ * in the first turn, callers up to the turn's bound, all the others in the turns after it.
+ */
+static void test_own_answers_first(void)
+{
+	static const struct net_ops ops = {crowd_request, crowd_reply};
+	static const char ask[] = "GET /ready HTTP/1.1\r\n\r\n";
+	struct crowd us = {0}, other = {0};
+	struct sockaddr_in sa, to;
+	int fds[CROWD];
+	char addr[64];
+	struct net_call call = {
+	    .id = 1, .addr = addr, .method = "GET", .path = "/", .timeout_s = 5};
+
+	us.net = net_new(&ops, &us, CROWD + NET_CONNS_RESERVED + 8, 60);
+	other.net = net_new(&ops, &other, NET_CONNS_RESERVED + 8, 60);
+	short_listen(us.net, &sa);
+	short_listen(other.net, &to);
+	snprintf(addr, sizeof(addr), "127.0.0.1:%d", ntohs(to.sin_port));
+	for (int i = 0; i < CROWD; i++) {
+		fds[i] = socket(AF_INET, SOCK_STREAM, 0);
+		if (connect(fds[i], (struct sockaddr *)&sa, sizeof(sa)))
+			abort();
+		net_poll(us.net, 0.001);
+	}
+	net_send(us.net, &call);
+	for (int i = 0; i < 20; i++)
+		net_poll(us.net, 0.001);
+	for (int i = 0; i < CROWD; i++)
+		check(send(fds[i], ask, sizeof(ask) - 1, MSG_NOSIGNAL) > 0, "turn", "ask");
+	for (int i = 0; i < 200 && !other.requests; i++)
+		net_poll(other.net, 0.005);
+	net_poll(us.net, 0.1);
+	check(us.replies == 1, "turn", "our own answer is taken first");
+	check(us.requests > 0 && us.requests <= NET_TURN, "turn", "callers up to the bound");
+	for (int i = 0; i < 10; i++)
+		net_poll(us.net, 0.001);
+	check(us.requests == CROWD, "turn", "all the others soon after");
+	for (int i = 0; i < CROWD; i++)
+		close(fds[i]);
+	net_free(us.net);
+	net_free(other.net);
+}
+
 int main(void)
 {
 	test_http_requests();
@@ -351,6 +423,7 @@
 	test_bits();
 	test_rho();
 	test_sockets_short();
+	test_own_answers_first();
 	printf("%d passed, %d failed\n", checks - failures, failures);
 	return failures != 0;
 }
