--- a/src/constants.h
+++ b/src/constants.h
@@ -149,6 +149,7 @@
 #define GATHER_LEAD_S 60.0     /* seconds before a far aim: large gangs took up to 40 to gather */
 #define GATHER_MOST 2	       /* gangs that hold so at once: held room is idle room */
 #define GATHER_SHARE 0.05      /* share of a fleet's CPUs that may be held so, however many gangs */
+#define GATHER_SHARE_LATE 0.1  /* with those that have waited long: four minutes are near */
 #define GATHER_LATE_S 140.0    /* seconds of waiting after which more of them may */
 #define GATHER_MOST_LATE 4     /* then */
 #define GATHER_HOLD_S 2.0      /* seconds held beyond the last round: rounds come twice a second */
--- a/src/core/plan.c
+++ b/src/core/plan.c
@@ -286,7 +286,8 @@
  */
 static bool may_gather(struct core *c, const struct job *next, double waited)
 {
-	uint32_t most = waited < GATHER_LATE_S ? GATHER_MOST : GATHER_MOST_LATE, n = 0;
+	bool late = waited >= GATHER_LATE_S;
+	uint32_t most = late ? GATHER_MOST_LATE : GATHER_MOST, n = 0;
 	double held = next->spec.ntasks * next->spec.cpus, all = 0;
 	struct machine *m, *mtmp;
 	struct job *j, *tmp;
@@ -297,7 +298,7 @@
 	}
 	HASH_ITER (hh, c->machines, m, mtmp)
 		all += m->type && machine_usable(c, m) ? m->type->cpus : 0;
-	return n < most || held <= GATHER_SHARE * all;
+	return n < most || held <= (late ? GATHER_SHARE_LATE : GATHER_SHARE) * all;
 }
 
 static bool may_hold(const struct round *r, const struct spot_room *x, const struct job *j,
