--- a/daemon/main.c
+++ b/daemon/main.c
@@ -122,8 +122,7 @@
 	struct daemon d;
 
 	signal(SIGPIPE, SIG_IGN);
-	/* A worker silent for its lease has lost its tasks; our own kept connections close first.
-	 */
+	/* A worker silent for its lease has lost its tasks; our own idle ones close first. */
 	d.net = net_new(&ops, &d, conf->max_connections - NET_FILES,
 			fmax(conf->lease_s, NET_IDLE_S) + NET_SLOW_S);
 	if (net_listen(d.net, NET_FRONT, conf->front) || net_listen(d.net, NET_BACK, conf->back)) {
--- a/src/core/commit.c
+++ b/src/core/commit.c
@@ -537,19 +537,14 @@
 
 static void refill(struct core *c)
 {
-	double rate = c->conf->state_write_rps * WRITE_SHARE_LEADER;
-
-	c->write_tokens += (c->now - c->write_filled) * rate;
-	if (c->write_tokens > rate)
-		c->write_tokens = rate;
-	c->write_filled = c->now;
+	allowance_fill(c, &c->puts, c->conf->state_write_rps * WRITE_SHARE_LEADER);
 }
 
 static void fly(struct core *c)
 {
 	c->flight.waiting = false;
 	refill(c);
-	c->write_tokens -= c->flight.nops;
+	c->puts.left -= c->flight.nops;
 	store_commit(c, strdup(c->flight.body), on_commit, NULL);
 }
 
@@ -581,7 +576,7 @@
 	int most = c->conf->txn_ops, n = write_ops(w, most);
 
 	if (t->nops && (t->nops + n > most || t->bytes + write_bytes(w) > COMMIT_BYTES ||
-			t->nops + n > c->write_tokens))
+			t->nops + n > c->puts.left))
 		return false;
 	DL_DELETE(*list, w);
 	DL_APPEND(c->flight.items, w);
@@ -623,8 +618,8 @@
 	if (!t.nops)
 		batch_all(c, &t, &c->drops);
 	c->flight.nops = t.nops;
-	log_debug("commit", "nops=%d bytes=%zu tokens=%.1f kind=%d", t.nops, t.bytes,
-		  c->write_tokens, c->flight.items ? (int)c->flight.items->kind : -1);
+	log_debug("commit", "nops=%d bytes=%zu tokens=%.1f kind=%d", t.nops, t.bytes, c->puts.left,
+		  c->flight.items ? (int)c->flight.items->kind : -1);
 	c->flight.body = txn_finish(&t.txn);
 	if (!t.nops) {
 		commit_clear_flight(c);
@@ -638,7 +633,7 @@
 {
 	const struct write *w;
 
-	if (c->finals_due || (c->drops && c->write_tokens > c->conf->state_write_rps / 2))
+	if (c->finals_due || (c->drops && c->puts.left > c->conf->state_write_rps / 2))
 		return true;
 	DL_FOREACH (c->writes, w)
 		if (w->due <= c->now)
@@ -656,7 +651,7 @@
 	if (c->now < c->commit_again)
 		return;
 	refill(c);
-	if (c->write_tokens < 1)
+	if (c->puts.left < 1)
 		return;
 	if (c->fence_wanted && c->now - c->fence_at >= FENCE_EVERY_S)
 		fly_fence(c);
--- a/src/core/core.c
+++ b/src/core/core.c
@@ -1,5 +1,6 @@
 #include "core/core.h"
 
+#include <math.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -43,6 +44,12 @@
 	return erand48(c->rand48);
 }
 
+void allowance_fill(const struct core *c, struct allowance *a, double rate)
+{
+	a->left = fmin(rate, a->left + (c->now - a->filled) * rate);
+	a->filled = c->now;
+}
+
 char *fmt_path(const char *fmt, ...)
 {
 	char *s = malloc(HTTP_PATH_MAX);
--- a/src/core/load.c
+++ b/src/core/load.c
@@ -157,8 +157,8 @@
 		job_settle(c, j);
 	c->el.role = ROLE_LEAD;
 	c->lead_since = c->now;
-	c->write_filled = c->now;
-	c->write_tokens = c->conf->state_write_rps * WRITE_SHARE_LEADER;
+	c->puts.filled = c->now;
+	c->puts.left = c->conf->state_write_rps * WRITE_SHARE_LEADER;
 	log_info("lead", "state=leading jobs=%u machines=%u", HASH_COUNT(c->jobs),
 		 HASH_COUNT(c->machines));
 	round_wanted(c);
--- a/src/core/rent.c
+++ b/src/core/rent.c
@@ -166,13 +166,10 @@
 /* The cloud's rate is shared by lists, returns and rentals, whichever comes first in a look. */
 static bool cloud_take(struct core *c)
 {
-	double rate = c->conf->cloud_rps * CLOUD_SHARE;
-
-	c->cloud_tokens = fmin(rate, c->cloud_tokens + (c->now - c->cloud_filled) * rate);
-	c->cloud_filled = c->now;
-	if (c->cloud_tokens < 1)
+	allowance_fill(c, &c->cloud, c->conf->cloud_rps * CLOUD_SHARE);
+	if (c->cloud.left < 1)
 		return false;
-	c->cloud_tokens -= 1;
+	c->cloud.left -= 1;
 	return true;
 }
 
@@ -300,9 +297,25 @@
 	}
 }
 
-static void refusal_key(char *key, size_t cap, const char *type, const char *zone, bool spot)
+struct refusal_key {
+	char text[3 * NAME_MAX_LEN];
+};
+
+static struct refusal_key refusal_key(const char *type, const char *zone, bool spot)
+{
+	struct refusal_key key;
+
+	snprintf(key.text, sizeof(key.text), "%s %s %d", type, zone, spot);
+	return key;
+}
+
+static struct refusal *refusal_find(struct core *c, const char *type, const char *zone, bool spot)
 {
-	snprintf(key, cap, "%s %s %d", type, zone, spot);
+	struct refusal_key key = refusal_key(type, zone, spot);
+	struct refusal *r;
+
+	HASH_FIND_STR(c->refusals, key.text, r);
+	return r;
 }
 
 /*
@@ -311,11 +324,8 @@
  */
 static void refusal_lift(struct core *c, const struct machine *m)
 {
-	char key[3 * NAME_MAX_LEN];
-	struct refusal *r;
+	struct refusal *r = refusal_find(c, m->type_name, m->zone, m->spot);
 
-	refusal_key(key, sizeof(key), m->type_name, m->zone, m->spot);
-	HASH_FIND_STR(c->refusals, key, r);
 	if (r)
 		r->until = r->wait = 0;
 }
@@ -481,26 +491,20 @@
 
 static bool refused(struct core *c, const char *type, const char *zone, bool spot)
 {
-	char key[3 * NAME_MAX_LEN];
-	struct refusal *r;
+	struct refusal *r = refusal_find(c, type, zone, spot);
 
-	refusal_key(key, sizeof(key), type, zone, spot);
-	HASH_FIND_STR(c->refusals, key, r);
 	return r && c->now < r->until;
 }
 
 static void note_refusal(struct core *c, const struct rent_req *q, bool no)
 {
-	char key[3 * NAME_MAX_LEN];
-	struct refusal *r;
+	struct refusal *r = refusal_find(c, q->type, q->zone, q->spot);
 
-	refusal_key(key, sizeof(key), q->type, q->zone, q->spot);
-	HASH_FIND_STR(c->refusals, key, r);
 	if (!r) {
 		r = calloc(1, sizeof(*r));
 		if (!r)
 			abort();
-		snprintf(r->key, sizeof(r->key), "%s", key);
+		memcpy(r->key, refusal_key(q->type, q->zone, q->spot).text, sizeof(r->key));
 		HASH_ADD_STR(c->refusals, key, r);
 	}
 	if (!no) {
@@ -894,6 +898,5 @@
 	c->list_out = false;
 	c->list_after[0] = 0;
 	c->next_list = c->next_rent = c->cloud_again = 0;
-	c->cloud_tokens = 0;
-	c->cloud_filled = c->now;
+	c->cloud = (struct allowance){.filled = c->now};
 }
--- a/src/core/state.h
+++ b/src/core/state.h
@@ -279,6 +279,11 @@
 	struct rent_req *prev, *next;
 };
 
+/* What may be done now of something that a rate allows: a second's worth gathers at most. */
+struct allowance {
+	double left, filled;
+};
+
 struct core {
 	const struct conf *conf;
 	unsigned short rand48[3];
@@ -327,7 +332,7 @@
 	struct flight flight;
 	bool flying;
 	double commit_again;
-	double write_tokens, write_filled;
+	struct allowance puts;
 	bool fence_wanted;
 	double fence_at;
 	uint32_t attempts;
@@ -344,7 +349,7 @@
 
 	/* rentals */
 	double next_rent, next_list, cloud_again;
-	double cloud_tokens, cloud_filled; /* requests to the cloud that may be made now */
+	struct allowance cloud; /* requests to it */
 	bool list_out;
 	char list_after[ID_MAX];
 	struct rent_req *rents;
@@ -352,8 +357,8 @@
 	struct tomb *tombs;
 	uint32_t rent_counter;
 	uint64_t list_round;
-	double asks, asks_filled; /* questions to workers that may be asked now */
-	int directs;		  /* direct commands and questions under way: each holds a socket */
+	struct allowance asks; /* questions to workers */
+	int directs;	       /* direct commands and questions under way: each holds a socket */
 };
 
 /* core.c */
@@ -366,6 +371,7 @@
 void core_reply(struct core *c, uint64_t conn, int status, int retry_after, char *body);
 void core_reply_error(struct core *c, uint64_t conn, int status, int retry_after, const char *why);
 double core_random(struct core *c);
+void allowance_fill(const struct core *c, struct allowance *a, double rate);
 char *fmt_path(const char *fmt, ...) __attribute__((format(printf, 1, 2)));
 
 /* store.c: the state service */
--- a/src/core/workers.c
+++ b/src/core/workers.c
@@ -535,13 +535,11 @@
 /* Asks the worker for its report; false if too many were asked of late. */
 bool workers_ask(struct core *c, struct machine *m)
 {
-	double rate = asks_per_s(c);
-
-	c->asks = fmin(rate, c->asks + (c->now - c->asks_filled) * rate);
-	c->asks_filled = c->now;
-	if (!*m->addr || c->asks < 1 || c->now - m->asked_at < MACHINE_ASK_S || directs_full(c))
+	allowance_fill(c, &c->asks, asks_per_s(c));
+	if (!*m->addr || c->asks.left < 1 || c->now - m->asked_at < MACHINE_ASK_S ||
+	    directs_full(c))
 		return false;
-	c->asks -= 1;
+	c->asks.left -= 1;
 	c->directs++;
 	m->asked_at = c->now;
 	call_mark(c,
