Stand-ins: late transactions, mute machines, stalled watches, frozen controllers; two more checks

Starts after a confirmed cancellation are counted. A machine counts as room only if nothing was started there for 10 s: freed slots that the next start takes are in use.

--- a/tests/runner.c
+++ b/tests/runner.c
@@ -18,7 +18,8 @@
 
 #define STEP_S 0.05
 #define LATENCY_S 0.004
-#define SLOW_S 0.3 /* seconds that a slow answer of the state service takes longer */
+#define THAW_S 1e-3 /* seconds: what waits for a controller that wakes comes before its clock */
+#define SLOW_S 0.3  /* seconds that a slow answer of the state service takes longer */
 #define EPILOGUE_S                                                                                 \
 	80.0 /* seconds played after the last line: longer than a job may be forgotten             \
 	      */
@@ -52,6 +53,7 @@
 	bool up;
 	double back_at;
 	double skew;
+	double frozen_until; /* it neither reads nor sends */
 };
 
 struct cut {
@@ -59,6 +61,7 @@
 	double until;
 	bool hold;
 	bool oneway; /* only what goes from a to b */
+	bool mute;   /* only b's reports, to anybody */
 	struct cut *next;
 };
 
@@ -96,6 +99,8 @@
 	struct cut *cuts;
 	struct user *users;
 	uint64_t next_conn;
+	double late;	   /* share of transactions without an answer, carried out later */
+	int cancel_at_end; /* the job to be called off at the moment of its end; 0: none */
 	int answers[600];
 	int failures;
 	const char *file;
@@ -119,6 +124,25 @@
 
 /* --- messages --- */
 
+/* What came while a controller was frozen is read in any order: the worst is the newest report. */
+static double thaw_at(const struct world *w, const struct msg *m)
+{
+	const struct node *n = m->to < SI_NODES ? &w->nodes[m->to] : NULL;
+
+	if (!n || !n->up || w->now >= n->frozen_until)
+		return 0;
+	return n->frozen_until +
+	       (m->kind == MSG_REPORT ? 1e-6 * (n->frozen_until - m->at) : THAW_S / 2);
+}
+
+static bool muted(struct world *w, const struct msg *m)
+{
+	for (struct cut *c = w->cuts; c; c = c->next)
+		if (c->mute && m->kind == MSG_REPORT && c->b == m->from && w->now < c->until)
+			return true;
+	return false;
+}
+
 static bool cut_now(struct world *w, int a, int b, double *until, bool *hold)
 {
 	for (struct cut *c = w->cuts; c; c = c->next) {
@@ -126,7 +150,7 @@
 		bool ab = (c->a == a && (c->b == b || c->b < 0)) ||
 			  (c->a == b && (c->b == a || c->b < 0));
 
-		if ((c->oneway ? there : ab) && w->now < c->until) {
+		if (!c->mute && (c->oneway ? there : ab) && w->now < c->until) {
 			*until = c->until;
 			*hold = c->hold;
 			return true;
@@ -253,10 +277,15 @@
 			m->id = a->id;
 			m->life = node->life;
 			for (int copy = 0; to >= 0 && copy < 2; copy++) {
+				bool late = to == HOST_STATE && !strcmp(a->path, W_PATH_TXN) &&
+					    erand48(w->rand48) < w->late;
+
 				if (copy && erand48(w->rand48) >= w->repeat)
 					break;
-				m = msg_new(w, MSG_REQUEST, n, to, at + copy * 1.5);
-				m->id = copy ? 0 : a->id;
+				m = msg_new(w, MSG_REQUEST, n, to,
+					    late ? at + 2 + 10 * erand48(w->rand48)
+						 : at + copy * 1.5);
+				m->id = copy || late ? 0 : a->id;
 				m->life = node->life;
 				m->method = strdup(a->method);
 				m->path = strdup(a->path);
@@ -488,11 +517,17 @@
 		if (m->at > w->now)
 			w->now = m->at;
 		w->si.now = w->now;
+		if ((end = thaw_at(w, m)) > 0) {
+			hold_message(w, m, end);
+			continue;
+		}
 		if (m->kind != MSG_TIMEOUT && cut_now(w, m->from, m->to, &end, &hold)) {
 			if (hold) { /* in order, once the interruption ends */
 				hold_message(w, m, end + LATENCY_S);
 				continue;
 			}
+		} else if (muted(w, m)) {
+			/* it reaches nobody */
 		} else if (m->kind == MSG_TIMEOUT || m->from >= HOST_USERS ||
 			   erand48(w->rand48) >= w->loss) {
 			deliver(w, m);
@@ -558,7 +593,8 @@
 
 	u->again = false;
 	u->sent = w->now;
-	if (!w->nodes[i].up || cut_now(w, HOST_USERS, i, &end, &hold)) {
+	if (!w->nodes[i].up || w->now < w->nodes[i].frozen_until ||
+	    cut_now(w, HOST_USERS, i, &end, &hold)) {
 		u->again = true;
 		return;
 	}
@@ -599,6 +635,20 @@
 	user_send(w, u);
 }
 
+/* The user of a job calls it off at the moment at which its last task ends. */
+static void cancel_at_end(struct world *w)
+{
+	char id[ID_MAX];
+	struct si_job *j;
+
+	snprintf(id, sizeof(id), W_JOB_PREFIX "%06d", w->cancel_at_end);
+	j = w->cancel_at_end ? si_job(&w->si, id) : NULL;
+	if (!j || j->ndone < j->spec.ntasks)
+		return;
+	w->cancel_at_end = 0;
+	user_new(w, USER_CANCEL, id, -1);
+}
+
 static void users_step(struct world *w)
 {
 	struct user *u, *tmp;
@@ -688,7 +738,7 @@
 	s->spread = (int)num(x, "spread", 0);
 	s->spot = (int)num(x, "spot", 0);
 	j->run_s = s->estimate_s;
-	j->accepted_at = j->answered_at = j->began_at = -1;
+	j->accepted_at = j->answered_at = j->began_at = j->room_since = -1;
 	j->bad = num(x, "bad", 0) > 0;
 	j->done = calloc(1, s->ntasks / 8 + 1);
 	HASH_ADD_STR(w->si.jobs, spec.id, j);
@@ -875,6 +925,17 @@
 	w->cuts->oneway = true;
 }
 
+/* mute K for=S: machine K, or K..L, reaches no controller, while direct commands reach it */
+static void do_mute(struct world *w, const struct words *x)
+{
+	int last, first = range_word(x->w[1], &last);
+
+	for (int i = first; i <= last; i++) {
+		cut_add(w, -1, HOST_WORKERS + i, w->now + num(x, "for", 10), false);
+		w->cuts->mute = true;
+	}
+}
+
 static void machine_fault(struct world *w, const struct words *x, struct si_machine *m)
 {
 	const char *what = x->w[0];
@@ -942,6 +1003,16 @@
 		do_capture(w, x);
 	} else if (!strcmp(what, "oneway")) {
 		do_oneway(w, x);
+	} else if (!strcmp(what, "mute")) {
+		do_mute(w, x);
+	} else if (!strcmp(what, "freeze")) {
+		w->nodes[node_of(w, x->w[1])].frozen_until = w->now + num(x, "for", 10);
+	} else if (!strcmp(what, "stall")) {
+		w->si.state.stalls[node_of(w, x->w[1])] = num(x, "end", 0) == 0;
+	} else if (!strcmp(what, "late")) {
+		w->late = atof(x->w[1]);
+	} else if (!strcmp(what, "cancelend")) {
+		w->cancel_at_end = atoi(x->w[1]);
 	} else {
 		do_machine_fault(w, x);
 	}
@@ -977,6 +1048,8 @@
 	job_id(id, x->w[2]);
 	if (!strcmp(x->w[1], "start"))
 		si_force_start(&w->si, &w->si.machines[atoi(x->w[3])], id, (uint32_t)atoi(x->w[4]));
+	else if (!strcmp(x->w[1], "accept"))
+		si_told_submit(&w->si, id, 201);
 	else
 		si_told_state(&w->si, id, atoi(x->w[3]), x->n > 4 ? x->w[4] : "");
 }
@@ -1048,6 +1121,8 @@
 						  : (double)w->si.state.refused;
 	if (!strcmp(what, "asked"))
 		return !strcmp(arg, "show") ? (double)w->si.shows : (double)w->si.directs;
+	if (!strcmp(what, "latestarts"))
+		return (double)w->si.starts_cancelled;
 	if (!strcmp(what, "allstarts"))
 		return (double)w->si.starts_total;
 	if (!strcmp(what, "leaders")) {
@@ -1109,13 +1184,16 @@
 		for (int i = 0; i < w->nnodes; i++) {
 			if (!w->nodes[i].up && w->now >= w->nodes[i].back_at)
 				node_start(w, i);
-			if (!w->nodes[i].up)
+			if (!w->nodes[i].up || w->now < w->nodes[i].frozen_until + THAW_S)
 				continue;
 			core_tick(w->nodes[i].core, node_time(w, i));
 			drain(w, i);
 		}
-		if (floor(w->now) != floor(w->now - STEP_S))
+		if (floor(w->now) != floor(w->now - STEP_S)) {
 			users_step(w);
+			si_check_room(&w->si, w->quiet_since);
+		}
+		cancel_at_end(w);
 		si_check_answers(&w->si, w->quiet_since);
 	}
 }
--- a/tests/standin.c
+++ b/tests/standin.c
@@ -10,9 +10,9 @@
 #include "core/state.h"
 #include "wire/names.h"
 
-const char *const rule_names[RULES] = {"ran_twice",   "quota",	  "wrong_place", "ran_cancelled",
-				       "forgotten",   "invented", "not_done",	 "went_back",
-				       "nothing_ran", "unserved", "late_large"};
+const char *const rule_names[RULES] = {
+    "ran_twice", "quota",	"wrong_place", "ran_cancelled", "forgotten", "invented", "not_done",
+    "went_back", "nothing_ran", "unserved",    "late_large",	"idle_room", "wrong_job"};
 
 static void *zalloc(size_t n)
 {
@@ -163,7 +163,7 @@
 	while ((w = *p)) {
 		json_t *events;
 
-		if (s->state.down || s->state.refuses[w->node]) {
+		if (s->state.down || s->state.refuses[w->node] || s->state.stalls[w->node]) {
 			p = &w->next;
 			continue;
 		}
@@ -540,11 +540,13 @@
 			    !strcmp(o->job, t->job))
 				si_broken(s, RULE_RAN_TWICE, "%s/%u on %s and %s", t->job, t->task,
 					  s->machines[i].id, m->id);
+	s->starts_cancelled += j->told_cancelled;
 	if (j->told_cancelled && s->now > j->cancelled_at + s->conf->cancel_s)
 		si_broken(s, RULE_RAN_CANCELLED, "%s started", t->job);
 	if (j->began_at < 0 && ++j->starts_seen >= (j->spec.kind == JOB_GANG ? j->spec.ntasks : 1))
 		j->began_at = s->now;
 	j->starts++;
+	m->used_at = s->now;
 	s->starts_total++;
 	check_place(s, m, j);
 	check_team(s, j);
@@ -1082,6 +1084,179 @@
 		cloud_list(s, handle);
 }
 
+/* --- whether a job can run --- */
+
+#define ROOM_STAYS_S                                                                               \
+	10.0 /* seconds without a start on a machine: room that the next start takes is in use */
+
+static bool fits_type(const struct si_job *j, const struct machine_type *t)
+{
+	bool named = j->spec.ntypes == 0, zone = !*j->spec.zone;
+
+	for (int i = 0; i < j->spec.ntypes; i++)
+		named |= !strcmp(j->spec.types[i], t->name);
+	for (int i = 0; i < t->nzones; i++)
+		zone |= !strcmp(j->spec.zone, t->zones[i]);
+	return named && zone && j->spec.cpus <= t->cpus && j->spec.gpus <= t->gpus &&
+	       j->spec.mem_gb <= t->mem_gb;
+}
+
+static const struct conf_team *team_of(const struct standin *s, const struct si_job *j)
+{
+	for (size_t i = 0; i < s->conf->nteams; i++)
+		if (!strcmp(s->conf->teams[i].name, j->spec.team))
+			return &s->conf->teams[i];
+	return NULL;
+}
+
+static bool under_limit(const struct conf_team *t, const struct si_job *j, double cpus, double gpus)
+{
+	uint32_t n = j->spec.kind == JOB_ARRAY ? 1 : j->spec.ntasks;
+
+	return (t->cpus_max <= 0 || cpus + n * j->spec.cpus <= t->cpus_max + 1e-6) &&
+	       (t->gpus_max <= 0 || gpus + n * j->spec.gpus <= t->gpus_max + 1e-6);
+}
+
+/* Half of a scattered gang fits in a zone: it takes two of them. */
+static bool zones_suffice(struct standin *s, const struct si_job *j)
+{
+	const char *first = NULL;
+
+	if (j->spec.kind == JOB_ARRAY || !j->spec.spread || j->spec.ntasks < 2)
+		return true;
+	if (j->spec.one_zone || *j->spec.zone)
+		return false;
+	for (size_t i = 0; i < s->cloud.ntypes; i++)
+		for (int z = 0; z < s->cloud.types[i].nzones; z++) {
+			if (!fits_type(j, &s->cloud.types[i]))
+				continue;
+			if (first && strcmp(first, s->cloud.types[i].zones[z]))
+				return true;
+			first = s->cloud.types[i].zones[z];
+		}
+	return false;
+}
+
+static bool can_ever_run(struct standin *s, const struct si_job *j)
+{
+	const struct conf_team *team = team_of(s, j);
+	bool type = false;
+
+	for (size_t i = 0; i < s->cloud.ntypes; i++)
+		type |= fits_type(j, &s->cloud.types[i]);
+	return type && team && under_limit(team, j, 0, 0) && zones_suffice(s, j);
+}
+
+/* What is free on each machine, which jobs are on any, and what their teams use. */
+static void count_use(struct standin *s)
+{
+	struct si_job *j, *tmp;
+
+	HASH_ITER (hh, s->jobs, j, tmp)
+		j->held = 0;
+	for (int i = 0; i < s->nmachines; i++) {
+		struct si_machine *m = &s->machines[i];
+
+		m->cpus = m->type->cpus;
+		m->gpus = m->type->gpus;
+		m->mem_gb = m->type->mem_gb;
+		for (const struct si_task *t = m->tasks; t; t = t->next) {
+			j = si_job(s, t->job);
+			j->held++;
+			if (t->state == TS_EXITED)
+				continue;
+			m->cpus -= j->spec.cpus;
+			m->gpus -= j->spec.gpus;
+			m->mem_gb -= j->spec.mem_gb;
+		}
+	}
+}
+
+static void team_use(const struct standin *s, const struct conf_team *t, double *cpus, double *gpus)
+{
+	struct si_job *j, *tmp;
+
+	*cpus = *gpus = 0;
+	HASH_ITER (hh, s->jobs, j, tmp) {
+		if (!j->held || strcmp(j->spec.team, t->name))
+			continue;
+		*cpus += j->held * j->spec.cpus;
+		*gpus += j->held * j->spec.gpus;
+	}
+}
+
+/* Slots for the job's tasks on a machine that is there and answers. */
+static uint32_t slots_on(const struct si_job *j, const struct si_machine *m)
+{
+	uint32_t n = 0;
+
+	if (m->power != SI_UP || m->cpus + 1e-6 < j->spec.cpus || m->hanging || m->faulty ||
+	    m->notice_until >= 0 || !fits_type(j, m->type) || (m->spot && !j->spec.spot) ||
+	    (*j->spec.zone && strcmp(j->spec.zone, m->zone)))
+		return 0;
+	while (n < j->spec.ntasks && m->cpus + 1e-6 >= (n + 1) * j->spec.cpus &&
+	       m->gpus + 1e-6 >= (n + 1) * j->spec.gpus &&
+	       m->mem_gb + 1e-6 >= (n + 1) * j->spec.mem_gb)
+		n++;
+	return n;
+}
+
+/* Room that stays: machines whose room was there at the last look too count, others come and go. */
+static uint32_t room_for(struct standin *s, const struct si_job *j, const char *zone)
+{
+	uint32_t n = 0;
+
+	for (int i = 0; i < s->nmachines; i++)
+		if (s->now - s->machines[i].used_at > ROOM_STAYS_S &&
+		    (!zone || !strcmp(zone, s->machines[i].zone)))
+			n += slots_on(j, &s->machines[i]);
+	return n;
+}
+
+static bool has_room(struct standin *s, const struct si_job *j)
+{
+	uint32_t need = j->spec.kind == JOB_ARRAY ? 1 : j->spec.ntasks;
+
+	if (!j->spec.one_zone || need == 1)
+		return room_for(s, j, NULL) >= need;
+	for (int i = 0; i < s->nmachines; i++)
+		if (room_for(s, j, s->machines[i].zone) >= need)
+			return true;
+	return false;
+}
+
+#define ROOM_EVERY_S 4.0 /* seconds between looks */
+#define ROOM_WAIT_S                                                                                \
+	90.0 /* seconds a job may wait beside room once troubles are over: the users' rule */
+
+void si_check_room(struct standin *s, double quiet_since)
+{
+	struct si_job *j, *tmp;
+
+	if (s->now < quiet_since || s->now < s->room_at)
+		return;
+	s->room_at = s->now + ROOM_EVERY_S;
+	count_use(s);
+	HASH_ITER (hh, s->jobs, j, tmp) {
+		const struct conf_team *team = team_of(s, j);
+		bool waits = j->accepted && !j->cancel_asked && !j->bad && !j->held && team &&
+			     j->ndone < j->spec.ntasks;
+		double cpus, gpus;
+
+		if (waits)
+			team_use(s, team, &cpus, &gpus);
+		if (!waits || !under_limit(team, j, cpus, gpus) || !has_room(s, j)) {
+			j->room_since = -1;
+			continue;
+		}
+		if (j->room_since < 0)
+			j->room_since = s->now;
+		if (s->now - j->room_since > ROOM_WAIT_S)
+			si_broken(s, RULE_IDLE_ROOM, "%s waits beside room for %.0f s", j->spec.id,
+				  s->now - j->room_since);
+	}
+}
+
 /* --- what users are told --- */
 
 void si_told_submit(struct standin *s, const char *id, int status)
@@ -1091,6 +1266,8 @@
 	if ((status == 200 || status == 201) && !j->accepted) {
 		j->accepted_at = s->now;
 		j->accepted = true;
+		if (!can_ever_run(s, j))
+			si_broken(s, RULE_WRONG_JOB, "%s can't run", id);
 	} else if ((status == 400 || status == 422) && j->accepted)
 		si_broken(s, RULE_FORGOTTEN, "%s submitted again: %d", id, status);
 }
--- a/tests/standin.h
+++ b/tests/standin.h
@@ -39,6 +39,8 @@
 	RULE_NOTHING_RAN,
 	RULE_UNSERVED,
 	RULE_LATE_LARGE,
+	RULE_IDLE_ROOM,
+	RULE_WRONG_JOB,
 	RULES
 };
 
@@ -53,6 +55,8 @@
 	bool asked, accepted, cancel_asked, told_cancelled, told_done;
 	double cancelled_at, progress;
 	double accepted_at, answered_at, began_at; /* < 0: not yet */
+	uint32_t held;				   /* its tasks on machines, at the last look */
+	double room_since; /* it waits though there is room; < 0: it does not */
 	uint8_t *done;
 	uint32_t ndone, starts, starts_seen;
 	int shown_running; /* as the last answer said */
@@ -99,6 +103,7 @@
 	uint64_t revision, next_lease;
 	bool down;
 	bool refuses[SI_NODES];
+	bool stalls[SI_NODES]; /* its watches get no answer, all else does */
 	int txn_ops;
 	size_t value_bytes;
 	double request_room, put_room, filled; /* what the limits still allow, one second's burst */
@@ -133,8 +138,9 @@
 	double report_sent;
 	bool report_out, changed;
 	struct si_task *tasks;
-	int starts;
-	char *report_text; /* the newest */
+	double used_at;		   /* its newest start */
+	double cpus, gpus, mem_gb; /* free, at the last look */
+	char *report_text;	   /* the newest */
 };
 
 struct si_cloud {
@@ -156,7 +162,8 @@
 	void *ctx;
 	const struct conf *conf;
 	double now;
-	double ticked; /* up to here the tasks' progress is counted */
+	double room_at; /* the next look for jobs that wait beside room */
+	double ticked;	/* up to here the tasks' progress is counted */
 	struct si_state state;
 	struct si_cloud cloud;
 	struct si_machine *machines;
@@ -167,8 +174,8 @@
 	int broken[RULES];
 	bool verbose;
 	char why[256];
-	uint64_t starts_total;
-	uint64_t shows, directs; /* questions and direct commands to workers */
+	uint64_t starts_total, starts_cancelled; /* the latter: after their user was told */
+	uint64_t shows, directs;		 /* questions and direct commands to workers */
 };
 
 void si_init(struct standin *s, const struct si_ops *ops, void *ctx, const struct conf *conf);
@@ -201,6 +208,7 @@
 void si_told_cancel(struct standin *s, const char *id, int status, const char *body);
 /* Rules about whole days; troubles ended at `quiet_since`, the day does so now. */
 void si_check_answers(struct standin *s, double quiet_since);
+void si_check_room(struct standin *s, double quiet_since);
 void si_check_served(struct standin *s);
 void si_force_start(struct standin *s, struct si_machine *m, const char *job, uint32_t task);
 
