--- a/src/constants.h
+++ b/src/constants.h
@@ -46,8 +46,8 @@
 #define LEADER_TTL_MS 2500   /* ms: take-over time against false losses when the state is slow */
 #define LEADER_RENEW_S 0.7   /* seconds: three tries within the lease */
 #define LEADER_RETRY_S 0.3   /* seconds between tries of a renewal that failed */
-#define LEADER_WATCH_MS 9000 /* ms a watch blocks: few requests, and a dead one is noticed */
-#define LEADER_WATCH_SLACK_S 2.0 /* seconds beyond the watch's time before it counts as lost */
+#define LEADER_WATCH_MS 2000 /* ms a watch blocks: an idle follower too hears the service */
+#define LEADER_WATCH_SLACK_S 1.0 /* seconds more and it is lost: with it below PEER_ALONE_S */
 #define LEADER_REREAD_S 0.4	 /* seconds before reading the key again after a failure */
 #define LEADER_YIELD_S 8.0	 /* seconds a leader that hears no worker stands back */
 #define CLOCK_DRIFT 0.001	 /* share: two clocks, 0.05% each */
@@ -91,8 +91,8 @@
 #define ATTEMPT_SHIFT 20      /* bits: a million starts under one token */
 
 /* --- load --- */
-#define RANGE_LIMIT 500	   /* items per page: pages stay below 512 KiB */
-#define JOBS_WATCH_MS 9000 /* ms the jobs' watch blocks */
+#define RANGE_LIMIT 500	  /* items per page: pages stay below 512 KiB */
+#define JOBS_WATCH_MS 700 /* ms the jobs' watch blocks: we serve on its last answer */
 
 /* --- machines --- */
 #define MACHINE_FRESH_REPORTS 2.5 /* reports missed before a machine gets no new tasks */
--- a/src/core/commit.c
+++ b/src/core/commit.c
@@ -493,6 +493,34 @@
 		requeue(c);
 }
 
+/*
+ * A new token without an answer may have been written all the same, and its second copy then finds
+ * it: only our own transaction writes our name over the token we hold.
+ */
+static void on_fence_read(struct core *c, struct call *call, int status, const char *body,
+			  size_t len)
+{
+	const char *name;
+	struct kv_item it = {0};
+	json_t *o;
+
+	if (election_stale(c, call) || !c->flying)
+		return;
+	store_heard(c, status);
+	if (status != 200 && status != 404) {
+		store_get(c, LEADER_KEY, on_fence_read, NULL);
+		return;
+	}
+	o = status == 200 ? wire_parse(body, len) : NULL;
+	wire_kv(o, &it);
+	name = json_string_value(json_object_get(it.value, "name"));
+	if (name && !strcmp(name, c->conf->name) && it.version > c->el.token)
+		committed(c, it.version);
+	else
+		election_step_down(c, "guard_failed");
+	json_decref(o);
+}
+
 static void on_commit(struct core *c, struct call *call, int status, const char *body, size_t len)
 {
 	json_t *o;
@@ -509,7 +537,9 @@
 	if (status == 409) {
 		o = wire_parse(body, len);
 		log_info("commit_conflict", "body=%.200s", body);
-		if (wire_failed_has(o, LEADER_KEY))
+		if (c->flight.fence)
+			store_get(c, LEADER_KEY, on_fence_read, NULL);
+		else if (wire_failed_has(o, LEADER_KEY))
 			election_step_down(c, "guard_failed");
 		else
 			reread(c);
--- a/src/core/election.c
+++ b/src/core/election.c
@@ -2,6 +2,7 @@
  * Leadership: one key under a lease. Its revision is the token; every deciding transaction guards
  * on it, so an early take-over wastes work but breaks nothing.
  */
+#include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -60,6 +61,16 @@
 	c->el.lease = 0;
 }
 
+/* Another controller leads, by its own word. Workers are sent there, though the key can't be read.
+ */
+void election_deposed(struct core *c, const char *leader)
+{
+	if (c->el.role == ROLE_FOLLOW)
+		return;
+	election_step_down(c, "peer_leads");
+	snprintf(c->el.leader, sizeof(c->el.leader), "%s", leader);
+}
+
 /* Gives the lease back, so that another controller need not wait for its end. */
 void election_yield(struct core *c, const char *why)
 {
@@ -72,16 +83,27 @@
 }
 
 /*
- * A cancellation that another controller acknowledges after our last word from the state service
- * must be carried out in time: from the last moment we answer, a worker lives on for its lease.
+ * A cancellation that another controller acknowledges must be carried out in time though we don't
+ * hear of it: from the last moment we answer, a worker lives on for its lease. What we do not know
+ * of was committed after the last read of the jobs' changes that came back was sent; a renewal
+ * alone shows that the key is held, not that the changes were read.
  */
 bool election_may_serve(const struct core *c)
 {
 	const struct conf *f = c->conf;
-	double span =
-	    (f->cancel_s - f->lease_s * (1 + CLOCK_DRIFT)) * (1 - CLOCK_DRIFT) - CANCEL_MARGIN_S;
+	double rest = (f->cancel_s - f->lease_s * (1 + CLOCK_DRIFT)) * (1 - CLOCK_DRIFT);
+	/* With less, a slow answer would end a term: if cancel_s leaves so little, all of it is
+	 * used. */
+	double span = fmax(rest - CANCEL_MARGIN_S, LEADER_TTL_MS / 1000.0);
+
+	return c->el.role == ROLE_LEAD && c->now - fmin(c->el.renewed, c->jobs_read) < span;
+}
 
-	return c->el.role == ROLE_LEAD && c->now - c->el.renewed < span;
+/* Looked at before anything is answered: a process that was frozen wakes with questions waiting. */
+void election_look(struct core *c)
+{
+	if (c->el.role == ROLE_LEAD && !election_may_serve(c))
+		election_step_down(c, "state_unreachable");
 }
 
 static void heard_leader(struct core *c, const struct kv_item *it)
@@ -145,7 +167,7 @@
 	(void)call;
 	c->el.watching = false;
 	if (status != 200) {
-		if (status > 0 && status != 410)
+		if (status != 410)
 			store_heard(c, status);
 		c->el.known = false;
 		c->el.next_try = c->now + LEADER_REREAD_S;
@@ -262,8 +284,7 @@
 	}
 	if (e->role != ROLE_FOLLOW) {
 		renew(c);
-		if (e->role == ROLE_LEAD && !election_may_serve(c))
-			election_step_down(c, "state_unreachable");
+		election_look(c);
 		return;
 	}
 	if (e->known && !*e->leader && !e->claiming && c->now >= e->next_try &&
--- a/src/core/jobs.c
+++ b/src/core/jobs.c
@@ -162,6 +162,16 @@
 	job_settle(c, j);
 }
 
+void job_cancel_told(struct core *c, const char *id, uint64_t version)
+{
+	struct job *j = c->el.role == ROLE_LEAD ? job_find(c, id) : NULL;
+
+	if (!j || j->ghost || j->version >= version)
+		return;
+	j->version = version;
+	job_cancel(c, j);
+}
+
 void job_failed_on(struct core *c, struct job *j, struct machine *m)
 {
 	double wait = ERROR_BACKOFF_S;
--- a/src/core/load.c
+++ b/src/core/load.c
@@ -187,8 +187,10 @@
 		return;
 	}
 	o = wire_parse(body, len);
-	if (l->first)
+	if (l->first) {
 		c->jobs_revision = wire_revision(o);
+		c->jobs_read = call->sent;
+	}
 	l->first = false;
 	wire_items(o, load_item, &x);
 	if (!wire_more(o)) {
@@ -248,6 +250,7 @@
 	wire_items(o, watch_item, c);
 	if (wire_revision(o) > c->jobs_revision)
 		c->jobs_revision = wire_revision(o);
+	c->jobs_read = call->sent;
 	json_decref(o);
 }
 
--- a/src/core/machines.c
+++ b/src/core/machines.c
@@ -26,7 +26,7 @@
 	if (!m)
 		abort();
 	snprintf(m->id, sizeof(m->id), "%s", id);
-	m->last_beat = m->last_word = m->notice_s = -1;
+	m->last_beat = m->last_word = m->reported = m->notice_s = -1;
 	m->asked_at = c->now - MACHINE_ASK_S;
 	m->hears = true;
 	m->rented_at = m->idle_since = c->now;
@@ -85,10 +85,19 @@
 	       c->now - m->last_word < MACHINE_FRESH_REPORTS * c->conf->report_s;
 }
 
+/*
+ * Only reports keep a worker's lease: one that answers direct commands but reports to nobody, or to
+ * a leader of before, will lose what runs on it.
+ */
+static bool machine_reports(const struct core *c, const struct machine *m)
+{
+	return m->reported >= 0 && c->now - m->reported < MACHINE_FRESH_REPORTS * c->conf->report_s;
+}
+
 bool machine_usable(const struct core *c, const struct machine *m)
 {
 	return m->type && m->session && m->hears && !m->draining && !m->deleting && !m->failed &&
-	       m->notice_s < 0 && machine_fresh(c, m) && c->now >= m->no_place_until;
+	       m->notice_s < 0 && machine_reports(c, m) && c->now >= m->no_place_until;
 }
 
 bool machine_allowed(const struct machine_type *t, const char *zone, bool spot,
--- a/src/core/peers.c
+++ b/src/core/peers.c
@@ -47,11 +47,14 @@
 	free(list);
 }
 
-static void counts_take(struct core *c, const uint8_t *data, size_t len)
+static void counts_take(struct core *c, size_t peer, const uint8_t *data, size_t len)
 {
 	Peer__Counts *in = peer__counts__unpack(NULL, len, data);
 	struct known *k, *tmp;
 
+	/* Only who leads answers: with a newer token than ours, our own term is over. */
+	if (in && in->token > c->el.token)
+		election_deposed(c, c->conf->peers[peer].name);
 	/* What a deposed leader still believes is no news. */
 	if (in && in->token >= c->counts_token) {
 		c->counts_token = in->token;
@@ -79,7 +82,7 @@
 	if (status > 0)
 		c->peers[i].answered = c->now;
 	if (status == 200)
-		counts_take(c, (const uint8_t *)body, len);
+		counts_take(c, i, (const uint8_t *)body, len);
 }
 
 /* The message is empty: its path says all. */
@@ -243,6 +246,52 @@
 	return true;
 }
 
+/* --- cancellations --- */
+
+static void on_told(struct core *c, struct call *call, int status, const char *body, size_t len)
+{
+	(void)body;
+	(void)len;
+	if (status > 0)
+		c->peers[(size_t)(uintptr_t)call->arg].answered = c->now;
+}
+
+/*
+ * The leader may be refused by the state service alone, or be cut from it and deposed without
+ * knowing, while workers still report to it: a cancellation goes to all, whoever leads.
+ */
+void peers_cancelled(struct core *c, const char *id, uint64_t version)
+{
+	for (size_t i = 0; i < c->conf->npeers; i++) {
+		Peer__Cancelled out = PEER__CANCELLED__INIT;
+		uint8_t *buf;
+		size_t len;
+
+		out.job = (char *)id;
+		out.version = version;
+		len = peer__cancelled__get_packed_size(&out);
+		buf = malloc(len + 1);
+		if (!buf)
+			abort();
+		peer__cancelled__pack(&out, buf);
+		core_call_packed(c, c->conf->peers[i].addr, CANCELLED_PATH, buf, len, on_told,
+				 (void *)(uintptr_t)i);
+	}
+}
+
+static void cancelled_take(struct core *c, const struct core_request *r)
+{
+	Peer__Cancelled *in = peer__cancelled__unpack(NULL, r->len, (const uint8_t *)r->body);
+
+	if (!in) {
+		core_reply_error(c, r->conn, 400, 0, "cancelled");
+		return;
+	}
+	job_cancel_told(c, in->job, in->version);
+	peer__cancelled__free_unpacked(in, NULL);
+	core_reply(c, r->conn, 200, 0, strdup("{}"));
+}
+
 /* --- the back link --- */
 
 void peers_request(struct core *c, const struct core_request *r)
@@ -251,6 +300,8 @@
 		core_reply_error(c, r->conn, 405, 0, "method");
 	else if (!strcmp(r->path, FORWARD_PATH))
 		forward_take(c, r);
+	else if (!strcmp(r->path, CANCELLED_PATH))
+		cancelled_take(c, r);
 	else if (strcmp(r->path, COUNTS_PATH))
 		core_reply_error(c, r->conn, 404, 0, "no such path");
 	else if (c->el.role == ROLE_LEAD)
--- a/src/core/state.h
+++ b/src/core/state.h
@@ -93,6 +93,7 @@
 	double deaf_since; /* steady; when `hears` was lost */
 	double last_beat;  /* steady; < 0: none this term */
 	double last_word;  /* any message this term; < 0: none */
+	double reported;   /* any report, be it a copy or a new machine's first; < 0: none */
 	double up_at;	   /* its first message this term */
 	double asked_at;
 	double notice_s;
@@ -101,6 +102,7 @@
 	size_t nleft;
 	uint64_t loose_token; /* newest token of an unanswered command to start */
 	int do_out;
+	bool call;   /* it may report to a leader of before: our token brings it here */
 	bool kick;   /* commands wait to be sent directly */
 	bool queued; /* in the list of those whose turn it is */
 	struct machine *kprev, *knext;
@@ -337,6 +339,7 @@
 	double fence_at;
 	uint32_t attempts;
 	uint64_t jobs_revision;
+	double jobs_read; /* when the newest read of the jobs' changes that came back was sent */
 	bool jobs_watching;
 	double jobs_watch_again;
 	bool round_due;
@@ -387,8 +390,10 @@
 void election_tick(struct core *c);
 void election_step_down(struct core *c, const char *why);
 void election_yield(struct core *c, const char *why);
+void election_deposed(struct core *c, const char *leader);
 /* True while it may answer workers: a cancellation elsewhere is still carried out in time. */
 bool election_may_serve(const struct core *c);
+void election_look(struct core *c);
 void election_reread(struct core *c);
 bool election_stale(const struct core *c, const struct call *call);
 json_t *election_value(const struct core *c);
@@ -418,6 +423,8 @@
 struct job *job_find(struct core *c, const char *id);
 struct job *job_add(struct core *c, const struct job_spec *spec);
 void job_cancel(struct core *c, struct job *j);
+/* A cancellation is on record, with this version of the job's key: the leader stops its tasks. */
+void job_cancel_told(struct core *c, const char *id, uint64_t version);
 void job_task_done(struct core *c, struct job *j, uint32_t task);
 void job_done_unbound(struct core *c, const char *id, uint32_t task);
 bool job_bit(const uint8_t *bits, uint32_t task);
@@ -492,8 +499,11 @@
 /* peers.c: what controllers ask each other */
 #define COUNTS_PATH "/counts"
 #define FORWARD_PATH "/forward"
+#define CANCELLED_PATH "/cancelled"
 void peers_request(struct core *c, const struct core_request *r);
 bool forward_user(struct core *c, struct user_req *u);
+/* Tells the others of a committed cancellation: whoever leads may not read of it for a while. */
+void peers_cancelled(struct core *c, const char *id, uint64_t version);
 void peers_tick(struct core *c);
 /* Wraps the answer if the request was handed on by another controller. */
 bool peers_wrap(struct core *c, uint64_t conn, int *status, int retry_after, char **body,
--- a/src/core/users.c
+++ b/src/core/users.c
@@ -132,12 +132,15 @@
 			 size_t len)
 {
 	struct user_req *u = call->arg;
+	json_t *o;
 
-	(void)body;
-	(void)len;
 	store_heard(c, status);
 	if (status == 200) {
+		o = wire_parse(body, len);
 		log_info("cancel", "job=%s", u->id);
+		job_cancel_told(c, u->id, wire_revision(o));
+		peers_cancelled(c, u->id, wire_revision(o));
+		json_decref(o);
 		user_state(c, u, 200, JS_CANCELLED, 0, 0);
 	} else if (status == 409) {
 		user_lookup(c, u);
@@ -551,14 +554,37 @@
 	return false;
 }
 
+static bool type_fits(const struct machine_type *t, const struct job_spec *s)
+{
+	return zone_fits(t, s) && machine_allowed(t, s->zone, false, s) && s->cpus <= t->cpus &&
+	       s->gpus <= t->gpus && s->mem_gb <= t->mem_gb;
+}
+
 static bool fits_some_type(const struct core *c, const struct job_spec *s)
 {
+	for (size_t i = 0; i < c->ntypes; i++)
+		if (type_fits(&c->types[i], s))
+			return true;
+	return false;
+}
+
+/* At most half of a scattered gang runs in one zone, so there must be two that it may use. */
+static bool zones_suffice(const struct core *c, const struct job_spec *s)
+{
+	const char *first = NULL;
+
+	if (!s->spread || s->kind == JOB_ARRAY || s->ntasks < 2)
+		return true;
+	if (s->one_zone || *s->zone)
+		return false;
 	for (size_t i = 0; i < c->ntypes; i++) {
 		const struct machine_type *t = &c->types[i];
 
-		if (zone_fits(t, s) && machine_allowed(t, s->zone, false, s) &&
-		    s->cpus <= t->cpus && s->gpus <= t->gpus && s->mem_gb <= t->mem_gb)
-			return true;
+		for (int k = 0; k < t->nzones && type_fits(t, s); k++) {
+			if (first && strcmp(first, t->zones[k]))
+				return true;
+			first = t->zones[k];
+		}
 	}
 	return false;
 }
@@ -577,6 +603,9 @@
 	} else if (!fits_some_type(c, u->spec)) {
 		u->verdict = 422;
 		u->why = "fits no allowed machine";
+	} else if (!zones_suffice(c, u->spec)) {
+		u->verdict = 422;
+		u->why = "scattered, and no two zones allowed";
 	}
 }
 
--- a/src/core/workers.c
+++ b/src/core/workers.c
@@ -215,6 +215,10 @@
 	if (r->notice_s >= 0 && m->notice_s < 0) {
 		log_info("machine_notice", "machine=%s seconds=%.1f", m->id, r->notice_s);
 	}
+	if (!beat && m->last_beat < 0 && r->token < c->el.token) {
+		m->call = true;
+		workers_kick(c, m);
+	}
 	m->notice_s = r->notice_s;
 	m->notice_heard = c->now;
 	take_list(c, m, r, beat);
@@ -251,7 +255,7 @@
 	m->restarted = false;
 	m->inc_token = c->el.token;
 	m->session = m->seq = m->token = 0;
-	m->last_word = m->last_beat = -1;
+	m->last_word = m->last_beat = m->reported = -1;
 	m->rented_at = m->up_at = c->now;
 	free(m->left);
 	m->left = NULL;
@@ -387,6 +391,7 @@
 	if (!m)
 		m = machine_get(c, r->machine);
 	machine_describe(c, m, r->addr, r->type, r->zone, r->spot);
+	m->reported = c->now;
 	if (!report_counts(c, m, r)) {
 		/* A new machine, or one that began anew, has seen no token and is asked at once;
 		 * others show theirs by their next report. */
@@ -407,6 +412,7 @@
 	struct command_list l;
 	struct report rep;
 
+	election_look(c);
 	if (c->el.role == ROLE_FOLLOW) {
 		misdirect(c, r->conn);
 		return;
@@ -568,8 +574,9 @@
 	struct call *call;
 
 	gather(c, m, &l, false);
-	if (!l.n)
+	if (!l.n && !m->call)
 		return;
+	m->call = false;
 	m->do_out++;
 	c->directs++;
 	call = core_call(c, m->addr, "POST", fmt_path(W_PATH_COMMANDS),
