A binding stopped before its start left ends at once

Their starts never leave, so no worker ever names them and no proof of their end comes: they held their room, and their jobs' tasks, for the rest of the term.

--- a/src/core/jobs.c
+++ b/src/core/jobs.c
@@ -154,7 +154,7 @@
 	log_info("job_cancelled", "job=%s bound=%u", j->spec.id, j->nbound);
 	DL_FOREACH_SAFE2 (j->bindings, b, tmp, jnext) {
 		/* A start that never left needs no proof of its end. */
-		if (!b->loaded && !b->sent_session && !b->beat_seq)
+		if (binding_unsent(b))
 			binding_end(c, b, WHY_STOPPED);
 		else
 			binding_stop(c, b, 0);
@@ -238,6 +238,12 @@
 	return b;
 }
 
+/* Its start never left, nor can an earlier leader have sent it. */
+bool binding_unsent(const struct binding *b)
+{
+	return !b->loaded && !b->sent_session && !b->beat_seq;
+}
+
 void binding_stop(struct core *c, struct binding *b, double grace_s)
 {
 	if (b->stopping && grace_s >= b->grace_s)
--- a/src/core/state.h
+++ b/src/core/state.h
@@ -466,6 +466,7 @@
 void binding_end(struct core *c, struct binding *b, enum task_why why);
 void binding_drop(struct core *c, struct binding *b);
 void binding_stop(struct core *c, struct binding *b, double grace_s);
+bool binding_unsent(const struct binding *b);
 
 /* workers.c */
 void workers_beat(struct core *c, const struct core_request *r);
--- a/src/core/workers.c
+++ b/src/core/workers.c
@@ -88,9 +88,7 @@
 /* A bound task that this report does not list. */
 static void take_absent(struct core *c, struct machine *m, struct binding *b, bool beat)
 {
-	bool never_sent = !b->loaded && !b->sent_session && !b->beat_seq;
-
-	if (!b->committed || never_sent)
+	if (!b->committed || binding_unsent(b))
 		return;
 	/* The session that was told to start it is over. */
 	if (b->sent_session && m->session > b->sent_session) {
@@ -568,6 +566,23 @@
 	kick_unqueue(c, m);
 }
 
+/*
+ * Stopped before its start left: no worker will ever name it, so no proof of its end would come,
+ * and it would hold its room and its task for the rest of the term.
+ */
+static void drop_unsent(struct core *c, struct machine *m)
+{
+	struct binding *b = m->bindings;
+
+	while (b) {
+		bool ends = b->stopping && binding_unsent(b);
+
+		if (ends)
+			binding_end(c, b, WHY_STOPPED);
+		b = ends ? m->bindings : b->mnext; /* its end may have ended others */
+	}
+}
+
 static void send_direct(struct core *c, struct machine *m)
 {
 	struct command_list l;
@@ -592,6 +607,7 @@
 
 	while ((m = c->kicked) && !directs_full(c)) {
 		workers_unkick(c, m);
+		drop_unsent(c, m);
 		if (m->session && *m->addr && !m->gone && machine_fresh(c, m))
 			send_direct(c, m);
 	}
