More callers than sockets: who is answered is told to connect anew, not who is next

With some more callers than sockets, each closed the one silent longest, which in turn was the next to ask: all had to connect again, without a word, and some met the closing with their request.

--- a/src/constants.h
+++ b/src/constants.h
@@ -8,10 +8,12 @@
 #define PLOVERLOFT_VERSION "0.3.0"
 
 /* --- net --- */
-#define NET_ADDR_MAX 64	      /* bytes: "255.255.255.255:65535" with room */
-#define NET_READ_CHUNK 8192   /* bytes: most messages in one system call */
-#define NET_TURN 64	      /* callers served in a turn: bounds how long our own answers wait */
-#define NET_ACCEPT_BATCH 32   /* connections taken per turn: answers are not starved */
+#define NET_ADDR_MAX 64	    /* bytes: "255.255.255.255:65535" with room */
+#define NET_READ_CHUNK 8192 /* bytes: most messages in one system call */
+#define NET_TURN 64	    /* callers served in a turn: bounds how long our own answers wait */
+#define NET_ACCEPT_BATCH 32 /* connections taken per turn: answers are not starved */
+#define NET_CROWD_PART 50 /* of the sockets for callers, one in so many is kept free if it can be  \
+			   */
 #define NET_CONNS_RESERVED 64 /* sockets kept back for our own calls to state, cloud, workers */
 #define NET_SLOW_S 10.0	      /* seconds a half-sent request may take: it holds a socket */
 #define NET_IDLE_S 40.0	      /* seconds a kept client connection idles: reconnects cost more */
--- a/src/net/net.c
+++ b/src/net/net.c
@@ -290,6 +290,24 @@
 	return 0;
 }
 
+/*
+ * Nearly all sockets are in use. Callers come in turn: closing who was silent longest would meet
+ * each just before its next request, and all would have to connect again. So kept connections of
+ * our own go, and then the caller that is answered now, which is told so and has its next request
+ * far ahead: only as many as are too many connect anew.
+ */
+static int crowded(struct net *n)
+{
+	int room = n->max_conns - NET_CONNS_RESERVED;
+
+	if (n->nconns <= room - room / NET_CROWD_PART)
+		return 0;
+	if (!n->idle)
+		return 1;
+	conn_close(n, n->idle);
+	return 0;
+}
+
 void net_answer(struct net *n, uint64_t id, int status, int retry_after, const char *body,
 		size_t len)
 {
@@ -300,6 +318,8 @@
 		return;
 	c->busy = 0;
 	server_stir(n, c);
+	if (crowded(n))
+		c->close_after = 1;
 	buf_addf(&c->out,
 		 "HTTP/1.1 %d %s\r\nContent-Type: application/json\r\nContent-Length: %zu\r\n",
 		 status, http_reason(status), len);
--- a/tests/unit.c
+++ b/tests/unit.c
@@ -338,6 +338,66 @@
 	net_free(n);
 }
 
+/* --- more callers than sockets, in turn --- */
+
+#define TURN_ROOM 100	 /* sockets for callers */
+#define TURN_CALLERS 130 /* who come one after the other, again and again */
+#define TURN_ROUNDS 5
+
+/* Asks once; connects if need be. 1: connected anew, -1: was closed without a word. */
+static int turn_ask(struct net *n, int *fd, const struct sockaddr_in *sa)
+{
+	static const char ask[] = "GET /ready HTTP/1.1\r\n\r\n";
+	char buf[512];
+	int anew = *fd < 0;
+	ssize_t r = -1;
+
+	if (anew) {
+		*fd = socket(AF_INET, SOCK_STREAM, 0);
+		if (connect(*fd, (const struct sockaddr *)sa, sizeof(*sa)))
+			abort();
+	}
+	send(*fd, ask, sizeof(ask) - 1, MSG_NOSIGNAL);
+	for (int i = 0; i < 50 && r < 0; i++) {
+		net_poll(n, 0.001);
+		r = recv(*fd, buf, sizeof(buf) - 1, MSG_DONTWAIT);
+	}
+	buf[r > 0 ? r : 0] = 0;
+	if (r <= 0 || strstr(buf, "Connection: close")) {
+		close(*fd);
+		*fd = -1;
+	}
+	return r <= 0 ? -1 : anew;
+}
+
+static void test_sockets_in_turn(void)
+{
+	static const struct net_ops ops = {short_request, NULL};
+	struct net *n;
+	int fds[TURN_CALLERS], anew = 0, broken = 0, first = 0;
+	struct sockaddr_in sa;
+
+	n = net_new(&ops, &n, TURN_ROOM + NET_CONNS_RESERVED, 60);
+	short_listen(n, &sa);
+	memset(fds, -1, sizeof(fds));
+	for (int k = 0; k < TURN_ROUNDS * TURN_CALLERS; k++) {
+		int r = turn_ask(n, &fds[k % TURN_CALLERS], &sa);
+
+		broken += r < 0;
+		anew += r > 0;
+		if (k == TURN_CALLERS - 1)
+			first = anew;
+	}
+	check(first == TURN_CALLERS, "turn", "all are answered at first");
+	check(broken == 0, "turn", "nobody is closed without a word");
+	check(anew - first <= (TURN_ROUNDS - 1) * (TURN_CALLERS - TURN_ROOM + 4), "turn",
+	      "only those too many connect anew");
+	for (int i = 0; i < TURN_CALLERS; i++)
+		if (fds[i] >= 0)
+			close(fds[i]);
+	net_free(n);
+}
+
 /* --- our own answers before callers --- */
 
 #define CROWD (NET_TURN + 20)
@@ -423,6 +483,7 @@
 	test_bits();
 	test_rho();
 	test_sockets_short();
+	test_sockets_in_turn();
 	test_own_answers_first();
 	printf("%d passed, %d failed\n", checks - failures, failures);
 	return failures != 0;
