In an outage the others say what users were told: leaders go on beyond cancel_s less a lease

Controllers keep what they told users of cancellations; while the state service is silent the leader asks for it each second, stops what it hears of, and counts its bound from the oldest of the newest answered questions, over all in 'known'.

--- a/src/constants.h
+++ b/src/constants.h
@@ -5,15 +5,16 @@
 #ifndef PLOVERLOFT_CONSTANTS_H
 #define PLOVERLOFT_CONSTANTS_H
 
-#define PLOVERLOFT_VERSION "0.3.0"
+#define PLOVERLOFT_VERSION "0.4.0"
 
 /* --- net --- */
 #define NET_ADDR_MAX 64	    /* bytes: "255.255.255.255:65535" with room */
 #define NET_READ_CHUNK 8192 /* bytes: most messages in one system call */
 #define NET_TURN 64	    /* callers served in a turn: bounds how long our own answers wait */
 #define NET_ACCEPT_BATCH 32 /* connections taken per turn: answers are not starved */
-#define NET_CROWD_PART 50 /* of the sockets for callers, one in so many is kept free if it can be  \
-			   */
+#define NET_CROWD_PART                                                                             \
+	50 /* of the sockets for callers, one in so many is kept free if it can be                 \
+	    */
 #define NET_CONNS_RESERVED 64 /* sockets kept back for our own calls to state, cloud, workers */
 #define NET_SLOW_S 10.0	      /* seconds a half-sent request may take: it holds a socket */
 #define NET_IDLE_S 40.0	      /* seconds a kept client connection idles: reconnects cost more */
@@ -67,9 +68,12 @@
 #define COUNTS_ASKED_S                                                                             \
 	10.0 /* seconds after a poll during which they are asked for: polls come every 5 */
 #define PEER_PING_S                                                                                \
-	1.0		 /* seconds between questions to others while the state service is silent  \
-			  */
-#define PEER_ALONE_S 4.0 /* seconds without state service and peers before /ready says so */
+	1.0 /* seconds between questions to others while the state service is silent               \
+	     */
+#define TOLD_KEEP_CANCELS                                                                          \
+	2.0	      /* times cancel_s that what users were told is kept: a leader asks sooner */
+#define TOLD_MAX 4096 /* cancellations kept so: some 0.5 MB */
+#define PEER_ALONE_S 4.0     /* seconds without state service and peers before /ready says so */
 #define PEER_BACKOFF_S 2.0   /* seconds nothing is handed to a peer that could not serve either */
 #define RETRY_AFTER_S 1	     /* seconds: the least a user waits anyway */
 #define RETRY_AFTER_BUSY_S 2 /* seconds: a full queue drains in about this time */
--- a/src/core/core.c
+++ b/src/core/core.c
@@ -20,6 +20,7 @@
 	c->now = now.steady;
 	c->wall = now.wall;
 	c->next_call = 1;
+	c->incarnation = seed;
 	c->rand48[0] = (unsigned short)seed;
 	c->rand48[1] = (unsigned short)(seed >> 16);
 	c->rand48[2] = (unsigned short)(seed >> 32);
@@ -29,6 +30,8 @@
 	c->peers = calloc(conf->npeers + 1, sizeof(*c->peers));
 	if (!c->peers)
 		abort();
+	for (size_t i = 0; i < conf->npeers; i++)
+		c->peers[i].heard = -1;
 	c->state_heard = c->now;
 	c->counts_at = c->counts_wanted = c->now - COUNTS_ASKED_S;
 	c->peer_live = calloc(conf->npeers + 1, sizeof(*c->peer_live));
--- a/src/core/election.c
+++ b/src/core/election.c
@@ -86,7 +86,8 @@
  * A cancellation that another controller acknowledges must be carried out in time though we don't
  * hear of it: from the last moment we answer, a worker lives on for its lease. What we do not know
  * of was committed after the last read of the jobs' changes that came back was sent; a renewal
- * alone shows that the key is held, not that the changes were read.
+ * alone shows that the key is held, not that the changes were read. In an outage the others, who
+ * alone can have told users, say what they told.
  */
 bool election_may_serve(const struct core *c)
 {
@@ -96,7 +97,9 @@
 	 * used. */
 	double span = fmax(rest - CANCEL_MARGIN_S, LEADER_TTL_MS / 1000.0);
 
-	return c->el.role == ROLE_LEAD && c->now - fmin(c->el.renewed, c->jobs_read) < span;
+	double known = fmax(fmin(c->el.renewed, c->jobs_read), peers_heard(c));
+
+	return c->el.role == ROLE_LEAD && c->now - known < span;
 }
 
 /* Looked at before anything is answered: a process that was frozen wakes with questions waiting. */
--- a/src/core/jobs.c
+++ b/src/core/jobs.c
@@ -166,9 +166,10 @@
 {
 	struct job *j = c->el.role == ROLE_LEAD ? job_find(c, id) : NULL;
 
-	if (!j || j->ghost || j->version >= version)
+	if (!j || j->ghost)
 		return;
-	j->version = version;
+	if (version > j->version)
+		j->version = version;
 	job_cancel(c, j);
 }
 
--- a/src/core/pair.c
+++ b/src/core/pair.c
@@ -89,17 +89,14 @@
 
 static void switches_send(struct core *c, struct pair_work *w, Peer__Switches *out)
 {
-	size_t n = peer__switches__get_packed_size(out);
-	uint8_t *buf = malloc(n + 1);
+	size_t n;
+	uint8_t *buf = peers_pack(&out->base, &n);
 
-	if (!buf)
-		abort();
-	peer__switches__pack(out, buf);
 	if (w->conn) {
 		core_reply_packed(c, w->conn, buf, n);
 		return;
 	}
-	pair_take_switches(c, buf, n);
+	pair_take_switches(c, c->conf->npeers, buf, n);
 	free(buf);
 }
 
@@ -127,6 +124,7 @@
 		list[out.n_switches++] = &all[i];
 	}
 	out.token = w->part->token;
+	out.incarnation = c->incarnation;
 	out.switches = list;
 	switches_send(c, w, &out);
 	free(all);
@@ -222,12 +220,14 @@
 
 /* --- the leader --- */
 
-void pair_take_switches(struct core *c, const uint8_t *data, size_t len)
+void pair_take_switches(struct core *c, size_t peer, const uint8_t *data, size_t len)
 {
 	Peer__Switches *in = peer__switches__unpack(NULL, len, data);
 
 	if (!in)
 		return;
+	if (peer < c->conf->npeers)
+		peers_note_incarnation(c, peer, in->incarnation);
 	for (size_t i = 0; i < in->n_switches && in->token == c->el.token; i++) {
 		Peer__Slot *s = in->switches[i]->slot;
 		struct machine *m = s ? machine_find(c, s->machine) : NULL;
@@ -258,7 +258,7 @@
 		return;
 	c->peer_live[i] = status == 200;
 	if (status == 200)
-		pair_take_switches(c, (const uint8_t *)body, len);
+		pair_take_switches(c, i, (const uint8_t *)body, len);
 }
 
 /* Rendezvous: of the live controllers, the one whose hash with the machine is highest. */
@@ -349,11 +349,7 @@
 	part.n_slots = b.nslots;
 	part.open = b.open_list;
 	part.n_open = b.nopen;
-	n = peer__part__get_packed_size(&part);
-	buf = calloc(1, n + 1);
-	if (!buf)
-		abort();
-	peer__part__pack(&part, buf);
+	buf = peers_pack(&part.base, &n);
 	if (owner == c->conf->npeers) {
 		pair_begin(c, 0, buf, n);
 		free(buf);
--- a/src/core/peers.c
+++ b/src/core/peers.c
@@ -3,6 +3,7 @@
  * of users that the state service does not let one controller serve. Each is a protobuf message in
  * a request on the back link. A question is also a sign of life: who answers is there.
  */
+#include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -12,6 +13,18 @@
 #include "util/log.h"
 #include "wire/names.h"
 
+uint8_t *peers_pack(const struct ProtobufCMessage *m, size_t *len)
+{
+	uint8_t *buf;
+
+	*len = protobuf_c_message_get_packed_size(m);
+	buf = malloc(*len + 1);
+	if (!buf)
+		abort();
+	protobuf_c_message_pack(m, buf);
+	return buf;
+}
+
 /* --- counts of tasks --- */
 
 static void counts_reply(struct core *c, uint64_t conn)
@@ -37,11 +50,7 @@
 	}
 	out.token = c->el.token;
 	out.counts = list;
-	len = peer__counts__get_packed_size(&out);
-	buf = malloc(len + 1);
-	if (!buf)
-		abort();
-	peer__counts__pack(&out, buf);
+	buf = peers_pack(&out.base, &len);
 	core_reply_packed(c, conn, buf, len);
 	free(all);
 	free(list);
@@ -163,11 +172,9 @@
 	out.path = path;
 	out.body.data = (uint8_t *)u->body;
 	out.body.len = u->body ? strlen(u->body) : 0;
-	len = peer__forward__get_packed_size(&out);
-	buf = malloc(len + 1);
-	if (!buf || !h)
+	if (!h)
 		abort();
-	peer__forward__pack(&out, buf);
+	buf = peers_pack(&out.base, &len);
 	h->conn = u->conn;
 	h->peer = i;
 	call = core_call_packed(c, c->conf->peers[i].addr, FORWARD_PATH, buf, len, on_forwarded, h);
@@ -235,11 +242,7 @@
 	out.retry_after = (uint32_t)retry_after;
 	out.body.data = (uint8_t *)*body;
 	out.body.len = *len;
-	*len = peer__forwarded__get_packed_size(&out);
-	buf = malloc(*len + 1);
-	if (!buf)
-		abort();
-	peer__forwarded__pack(&out, buf);
+	buf = peers_pack(&out.base, len);
 	free(*body);
 	*body = (char *)buf;
 	*status = 200;
@@ -269,11 +272,7 @@
 
 		out.job = (char *)id;
 		out.version = version;
-		len = peer__cancelled__get_packed_size(&out);
-		buf = malloc(len + 1);
-		if (!buf)
-			abort();
-		peer__cancelled__pack(&out, buf);
+		buf = peers_pack(&out.base, &len);
 		core_call_packed(c, c->conf->peers[i].addr, CANCELLED_PATH, buf, len, on_told,
 				 (void *)(uintptr_t)i);
 	}
@@ -292,6 +291,112 @@
 	core_reply(c, r->conn, 200, 0, strdup("{}"));
 }
 
+/* --- what users were told of cancellations, while the state service is silent --- */
+
+void peers_note_told(struct core *c, const char *id, uint64_t version)
+{
+	struct told *t, *tmp;
+
+	HASH_ITER (hh, c->told, t, tmp) {
+		bool old = c->now - t->at > TOLD_KEEP_CANCELS * c->conf->cancel_s;
+
+		if (!old && HASH_COUNT(c->told) < TOLD_MAX)
+			break; /* oldest first */
+		/* What is forgotten before its time must not pass for never told. */
+		c->incarnation += !old;
+		HASH_DEL(c->told, t);
+		free(t);
+	}
+	HASH_FIND_STR(c->told, id, t);
+	if (t)
+		return;
+	t = calloc(1, sizeof(*t));
+	if (!t)
+		abort();
+	snprintf(t->id, sizeof(t->id), "%s", id);
+	t->version = version;
+	t->at = c->now;
+	HASH_ADD_STR(c->told, id, t);
+}
+
+static void heard_reply(struct core *c, uint64_t conn)
+{
+	size_t n = HASH_COUNT(c->told), len;
+	Peer__Cancelled *all = calloc(n + 1, sizeof(*all)), **list = calloc(n + 1, sizeof(*list));
+	Peer__Heard out = PEER__HEARD__INIT;
+	struct told *t, *tmp;
+	uint8_t *buf;
+
+	if (!all || !list)
+		abort();
+	HASH_ITER (hh, c->told, t, tmp) {
+		Peer__Cancelled *x = &all[out.n_cancelled];
+
+		peer__cancelled__init(x);
+		x->job = t->id;
+		x->version = t->version;
+		list[out.n_cancelled++] = x;
+	}
+	out.incarnation = c->incarnation;
+	out.token = c->el.role == ROLE_LEAD ? c->el.token : 0;
+	out.cancelled = list;
+	buf = peers_pack(&out.base, &len);
+	core_reply_packed(c, conn, buf, len);
+	free(all);
+	free(list);
+}
+
+void peers_note_incarnation(struct core *c, size_t peer, uint64_t incarnation)
+{
+	struct peer_view *p = &c->peers[peer];
+
+	if (p->incarnation == incarnation && p->since > 0)
+		return;
+	p->incarnation = incarnation;
+	p->since = c->now;
+}
+
+/*
+ * All that the peer told users before the question left is in its answer, or it was told by a
+ * process before this one, that is before we first heard of this one. If the jobs' changes were
+ * read after that, we know of those too; if not, the answer proves nothing.
+ */
+static void heard_take(struct core *c, size_t i, double asked, const Peer__Heard *in)
+{
+	struct peer_view *p = &c->peers[i];
+
+	peers_note_incarnation(c, i, in->incarnation);
+	if (in->token > c->el.token)
+		election_deposed(c, c->conf->peers[i].name);
+	for (size_t k = 0; k < in->n_cancelled; k++)
+		job_cancel_told(c, in->cancelled[k]->job, in->cancelled[k]->version);
+	if (c->el.role == ROLE_LEAD && p->since <= c->jobs_read)
+		p->heard = asked;
+}
+
+static void on_heard(struct core *c, struct call *call, int status, const char *body, size_t len)
+{
+	size_t i = (size_t)(uintptr_t)call->arg;
+	Peer__Heard *in =
+	    status == 200 ? peer__heard__unpack(NULL, len, (const uint8_t *)body) : NULL;
+
+	if (status > 0)
+		c->peers[i].answered = c->now;
+	if (!in)
+		return;
+	heard_take(c, i, call->sent, in);
+	peer__heard__free_unpacked(in, NULL);
+}
+
+double peers_heard(const struct core *c)
+{
+	double least = c->now;
+
+	for (size_t i = 0; i < c->conf->npeers; i++)
+		least = fmin(least, c->peers[i].heard);
+	return c->conf->npeers ? least : -1;
+}
+
 /* --- the back link --- */
 
 void peers_request(struct core *c, const struct core_request *r)
@@ -302,6 +407,8 @@
 		forward_take(c, r);
 	else if (!strcmp(r->path, CANCELLED_PATH))
 		cancelled_take(c, r);
+	else if (!strcmp(r->path, HEARD_PATH))
+		heard_reply(c, r->conn);
 	else if (strcmp(r->path, COUNTS_PATH))
 		core_reply_error(c, r->conn, 404, 0, "no such path");
 	else if (c->el.role == ROLE_LEAD)
@@ -310,14 +417,16 @@
 		core_reply_error(c, r->conn, 421, 0, "not leading");
 }
 
-/* While the state service is silent, the others are asked for signs of life. */
+/* While the state service is silent, the others are asked what they told users; it is a sign of
+ * life too. */
 static void ping_tick(struct core *c)
 {
 	if (!c->state_down || c->now < c->ping_next)
 		return;
 	c->ping_next = c->now + PEER_PING_S;
 	for (size_t i = 0; i < c->conf->npeers; i++)
-		counts_ask(c, i);
+		core_call(c, c->conf->peers[i].addr, "POST", fmt_path(HEARD_PATH), strdup(""),
+			  CALL_PEER_S, on_heard, (void *)(uintptr_t)i);
 }
 
 void peers_tick(struct core *c)
@@ -344,9 +453,14 @@
 void peers_clear(struct core *c)
 {
 	struct wrapped *w, *tmp;
+	struct told *t, *ttmp;
 
 	HASH_ITER (hh, c->wrapped, w, tmp) {
 		HASH_DEL(c->wrapped, w);
 		free(w);
 	}
+	HASH_ITER (hh, c->told, t, ttmp) {
+		HASH_DEL(c->told, t);
+		free(t);
+	}
 }
--- a/src/core/state.h
+++ b/src/core/state.h
@@ -230,6 +230,18 @@
 struct peer_view {
 	double answered;   /* steady; its last answer */
 	double no_forward; /* steady; nothing is handed to it before */
+	uint64_t incarnation;
+	double since; /* steady; when its first answer under this incarnation came */
+	double
+	    heard; /* steady; all that it had told users of cancellations by then is known here */
+};
+
+/* A cancellation that users were told of by this controller. */
+struct told {
+	char id[ID_MAX];
+	uint64_t version; /* of the job's record; 0: not known */
+	double at;	  /* steady; when first */
+	UT_hash_handle hh;
 };
 
 /* A request that another controller handed on: its answer goes back wrapped. */
@@ -322,6 +334,8 @@
 
 	/* other controllers */
 	struct peer_view *peers;
+	uint64_t incarnation; /* of this process */
+	struct told *told;    /* oldest first */
 	struct wrapped *wrapped;
 	double state_heard; /* when the state service last served us */
 	double ping_next;
@@ -494,14 +508,19 @@
 #define PAIR_PATH "/pair"
 double pair_rho(double m_a, double m_b);
 void pair_request(struct core *c, const struct core_request *r);
-void pair_take_switches(struct core *c, const uint8_t *data, size_t len);
+/* `peer`: whose answer it is; npeers: our own. */
+void pair_take_switches(struct core *c, size_t peer, const uint8_t *data, size_t len);
 void pair_tick(struct core *c);
 
 /* peers.c: what controllers ask each other */
 #define COUNTS_PATH "/counts"
 #define FORWARD_PATH "/forward"
 #define CANCELLED_PATH "/cancelled"
+#define HEARD_PATH "/heard"
 void peers_request(struct core *c, const struct core_request *r);
+/* The message as bytes of their own. */
+struct ProtobufCMessage;
+uint8_t *peers_pack(const struct ProtobufCMessage *m, size_t *len);
 bool forward_user(struct core *c, struct user_req *u);
 /* Tells the others of a committed cancellation: whoever leads may not read of it for a while. */
 void peers_cancelled(struct core *c, const char *id, uint64_t version);
@@ -509,6 +528,13 @@
 /* Wraps the answer if the request was handed on by another controller. */
 bool peers_wrap(struct core *c, uint64_t conn, int *status, int retry_after, char **body,
 		size_t *len);
+/* A user is told that the job is cancelled. */
+void peers_note_told(struct core *c, const char *id, uint64_t version);
+/* An answer of the peer came: which process it is. */
+void peers_note_incarnation(struct core *c, size_t peer, uint64_t incarnation);
+/* The moment up to which all that the others told users of cancellations is known here; < 0: none.
+ */
+double peers_heard(const struct core *c);
 bool peers_ready(const struct core *c);
 void peers_clear(struct core *c);
 
--- a/src/core/users.c
+++ b/src/core/users.c
@@ -43,6 +43,8 @@
 static void user_state(struct core *c, struct user_req *u, int status, enum job_state s,
 		       uint32_t done, uint32_t running)
 {
+	if (s == JS_CANCELLED)
+		peers_note_told(c, u->id, 0);
 	core_reply(c, u->conn, status, 0, wire_job_answer(u->id, s, done, running));
 	user_free(u);
 }
@@ -140,6 +142,7 @@
 		log_info("cancel", "job=%s", u->id);
 		job_cancel_told(c, u->id, wire_revision(o));
 		peers_cancelled(c, u->id, wire_revision(o));
+		peers_note_told(c, u->id, wire_revision(o));
 		json_decref(o);
 		user_state(c, u, 200, JS_CANCELLED, 0, 0);
 	} else if (status == 409) {
