Late in its turns, the loop leaves out who has closed meanwhile

When half a second or more has passed since the last turn, a caller's stream is read to its end: who closed is dropped. A caller that closes its own direction and still wants an answer gets none then; none of ours does.

--- a/src/constants.h
+++ b/src/constants.h
@@ -11,6 +11,7 @@
 #define NET_ADDR_MAX 64	    /* bytes: "255.255.255.255:65535" with room */
 #define NET_READ_CHUNK 8192 /* bytes: most messages in one system call */
 #define NET_TURN 64	    /* callers served in a turn: bounds how long our own answers wait */
+#define NET_LATE_S 0.5 /* seconds from turn to turn: a few of them, and callers have given up */
 #define NET_ACCEPT_BATCH 32 /* connections taken per turn: answers are not starved */
 #define NET_CROWD_PART                                                                             \
 	50 /* of the sockets for callers, one in so many is kept free if it can be                 \
--- a/src/net/net.c
+++ b/src/net/net.c
@@ -62,6 +62,8 @@
 	int nconns;
 	uint64_t next_id;
 	double next_sweep;
+	double turned;	      /* when the last turn ended */
+	int late;	      /* what is read now may have waited longer than its caller does */
 	struct conn *servers; /* list, by `since`: who was silent longest comes first */
 	struct conn *by_id;   /* hash of servers */
 	struct conn *calls;   /* list of busy clients */
@@ -430,7 +432,11 @@
 			conn_broken(n, c);
 			return;
 		}
-		if (r < NET_READ_CHUNK)
+		/*
+		 * Late, the end of the stream is looked for too: who gave up and closed needs no
+		 * answer. A busy leader that answered them all would serve nobody in time.
+		 */
+		if (r < NET_READ_CHUNK && !(n->late && c->kind == CONN_SERVER))
 			break;
 	}
 	if (c->kind == CONN_SERVER)
@@ -647,8 +653,10 @@
 	if (ms > NET_SWEEP_MS)
 		ms = NET_SWEEP_MS;
 	k = epoll_wait(n->ep, n->events, n->max_conns, ms);
+	n->late = net_now() - n->turned > NET_LATE_S;
 	take_events(n, k);
 	now = net_now();
+	n->turned = now;
 	if (now >= n->next_sweep) {
 		n->next_sweep = now + NET_SWEEP_MS / 1000.0;
 		sweep(n, now);
--- a/tests/unit.c
+++ b/tests/unit.c
@@ -470,6 +470,35 @@
 	net_free(other.net);
 }
 
+/* Late in its turns, as a small controller in a burst, the loop leaves out who has closed
+ * meanwhile. */
+static void test_late_gave_up(void)
+{
+	static const struct net_ops ops = {crowd_request, crowd_reply};
+	static const char ask[] = "GET /ready HTTP/1.1\r\n\r\n";
+	struct crowd us = {0};
+	struct sockaddr_in sa;
+	int fds[2];
+
+	us.net = net_new(&ops, &us, NET_CONNS_RESERVED + 8, 60);
+	short_listen(us.net, &sa);
+	for (int i = 0; i < 2; i++) {
+		fds[i] = socket(AF_INET, SOCK_STREAM, 0);
+		if (connect(fds[i], (struct sockaddr *)&sa, sizeof(sa)))
+			abort();
+		net_poll(us.net, 0.001);
+	}
+	for (int i = 0; i < 2; i++)
+		check(send(fds[i], ask, sizeof(ask) - 1, MSG_NOSIGNAL) > 0, "late", "ask");
+	close(fds[0]);
+	usleep((useconds_t)(NET_LATE_S * 1.2e6));
+	for (int i = 0; i < 5; i++)
+		net_poll(us.net, 0.001);
+	check(us.requests == 1, "late", "who waits is answered, who gave up is not");
+	close(fds[1]);
+	net_free(us.net);
+}
+
 int main(void)
 {
 	test_http_requests();
@@ -485,6 +514,7 @@
 	test_sockets_short();
 	test_sockets_in_turn();
 	test_own_answers_first();
+	test_late_gave_up();
 	printf("%d passed, %d failed\n", checks - failures, failures);
 	return failures != 0;
 }
