--- a/tests/standin.c
+++ b/tests/standin.c
@@ -1147,7 +1147,7 @@
 	return type && team && under_limit(team, j, 0, 0) && zones_suffice(s, j);
 }
 
-/* What is free on each machine, which jobs are on any, and what their teams use. */
+/* What is free on each machine, and how many tasks of each job are on any. */
 static void count_use(struct standin *s)
 {
 	struct si_job *j, *tmp;
@@ -1201,7 +1201,8 @@
 	return n;
 }
 
-/* Room that stays: machines whose room was there at the last look too count, others come and go. */
+/* Room that stays: only machines on which nothing was started of late; elsewhere it comes and goes.
+ */
 static uint32_t room_for(struct standin *s, const struct si_job *j, const char *zone)
 {
 	uint32_t n = 0;
