One note of a peer's answer; a check that nothing reaches any more goes

Counts are asked for by followers alone since leaders ask what users were told, so their token can depose nobody; the check in heard_take stands. Four callbacks noted that a peer is there in the same words. Behaviour is as before.

--- a/src/core/peers.c
+++ b/src/core/peers.c
@@ -25,6 +25,13 @@
 	return buf;
 }
 
+/* Whatever it says, it is there. */
+static void peer_answered(struct core *c, size_t i, int status)
+{
+	if (status > 0)
+		c->peers[i].answered = c->now;
+}
+
 /* --- counts of tasks --- */
 
 static void counts_reply(struct core *c, uint64_t conn)
@@ -56,14 +63,11 @@
 	free(list);
 }
 
-static void counts_take(struct core *c, size_t peer, const uint8_t *data, size_t len)
+static void counts_take(struct core *c, const uint8_t *data, size_t len)
 {
 	Peer__Counts *in = peer__counts__unpack(NULL, len, data);
 	struct known *k, *tmp;
 
-	/* Only who leads answers: with a newer token than ours, our own term is over. */
-	if (in && in->token > c->el.token)
-		election_deposed(c, c->conf->peers[peer].name);
 	/* What a deposed leader still believes is no news. */
 	if (in && in->token >= c->counts_token) {
 		c->counts_token = in->token;
@@ -88,10 +92,9 @@
 	size_t i = (size_t)(uintptr_t)call->arg;
 
 	c->counts_out = false;
-	if (status > 0)
-		c->peers[i].answered = c->now;
+	peer_answered(c, i, status);
 	if (status == 200)
-		counts_take(c, i, (const uint8_t *)body, len);
+		counts_take(c, (const uint8_t *)body, len);
 }
 
 /* The message is empty: its path says all. */
@@ -140,8 +143,7 @@
 	Peer__Forwarded *in =
 	    status == 200 ? peer__forwarded__unpack(NULL, len, (const uint8_t *)body) : NULL;
 
-	if (status > 0)
-		p->answered = c->now;
+	peer_answered(c, h->peer, status);
 	/* It can't serve either, or is not there: the outage is everybody's for now. */
 	if (!in || in->status == 503)
 		p->no_forward = c->now + PEER_BACKOFF_S;
@@ -255,8 +257,7 @@
 {
 	(void)body;
 	(void)len;
-	if (status > 0)
-		c->peers[(size_t)(uintptr_t)call->arg].answered = c->now;
+	peer_answered(c, (size_t)(uintptr_t)call->arg, status);
 }
 
 /*
@@ -380,8 +381,7 @@
 	Peer__Heard *in =
 	    status == 200 ? peer__heard__unpack(NULL, len, (const uint8_t *)body) : NULL;
 
-	if (status > 0)
-		c->peers[i].answered = c->now;
+	peer_answered(c, i, status);
 	if (!in)
 		return;
 	heard_take(c, i, call->sent, in);
