--- a/src/conf/conf.h
+++ b/src/conf/conf.h
@@ -19,6 +19,7 @@
 	OBJ_USEFUL,
 	OBJ_MAKESPAN,
 	OBJ_PRICE,
+	OBJ_UP, /* share of replica time served */
 	OBJ_OTHER
 };
 
@@ -39,6 +40,13 @@
 	double within_s, share, times, most;
 };
 
+/* Limits of the state service; 0: not stated. */
+struct conf_limits {
+	double rps, write_rps; /* requests and changes a second */
+	double value_kb;       /* KiB of one value */
+	int txn_ops;	       /* changes in one transaction */
+};
+
 struct conf {
 	char name[CONF_NAME_MAX];
 	char zone[CONF_NAME_MAX];
@@ -54,14 +62,15 @@
 	size_t nobjectives;
 	double skew_ms;
 	double report_s, lease_s, gang_wait_s, gang_peer_s, cancel_s;
-	double state_rps, state_write_rps, value_kb;
-	int txn_ops;
+	struct conf_limits limits;
+	struct conf_limits next_limits; /* to come at some time */
 	double cloud_rps, list_lag_s;
 	double cores, mem_mb;
 	int max_connections;
 	/* operators' own */
 	double idle_patience_s; /* seconds an idle machine is kept; < 0: from the objectives */
 	double headroom;	/* share of room kept free where money is no aim; < 0: default */
+	int hold_format;	/* the records stay readable by the version before */
 };
 
 /* 0, or -1 with the file, field and reason in `err`. */
--- a/src/conf/hcl.c
+++ b/src/conf/hcl.c
@@ -54,7 +54,9 @@
 {
 	cfg_opt_t rentals[] = {CFG_FLOAT("idle_patience_s", 0, CFGF_NODEFAULT),
 			       CFG_FLOAT("headroom", 0, CFGF_NODEFAULT), CFG_END()};
-	cfg_opt_t top[] = {CFG_SEC("rentals", rentals, CFGF_NODEFAULT), CFG_END()};
+	cfg_opt_t records[] = {CFG_BOOL("hold_format", cfg_false, CFGF_NONE), CFG_END()};
+	cfg_opt_t top[] = {CFG_SEC("rentals", rentals, CFGF_NODEFAULT),
+			   CFG_SEC("records", records, CFGF_NODEFAULT), CFG_END()};
 	cfg_t *cfg = cfg_init(top, CFGF_NONE);
 	int rc = -1;
 
@@ -65,6 +67,8 @@
 		rc = cfg_size(cfg, "rentals")
 			 ? take_rentals(c, path, cfg_getsec(cfg, "rentals"), err)
 			 : 0;
+		if (cfg_size(cfg, "records"))
+			c->hold_format = cfg_getbool(cfg_getsec(cfg, "records"), "hold_format");
 		break;
 	case CFG_FILE_ERROR:
 		snprintf(err, CONF_ERR_MAX, "%s: cannot be read", path);
--- a/src/conf/toml.cc
+++ b/src/conf/toml.cc
@@ -8,6 +8,7 @@
 #include <toml++/toml.h>
 
 #include "conf/conf.h"
+#include "constants.h"
 
 namespace
 {
@@ -68,7 +69,7 @@
 	} kinds[] = {{"wait", OBJ_WAIT},	 {"finished", OBJ_FINISHED},
 		     {"deadline", OBJ_DEADLINE}, {"guarantee", OBJ_GUARANTEE},
 		     {"useful", OBJ_USEFUL},	 {"makespan", OBJ_MAKESPAN},
-		     {"price", OBJ_PRICE}};
+		     {"price", OBJ_PRICE},	 {"up", OBJ_UP}};
 
 	for (const auto &k : kinds)
 		if (s == k.name)
@@ -132,10 +133,24 @@
 	     });
 }
 
+/* Fields that are not needed and absent keep what `out` holds. */
+void read_limits(reader &r, toml::node_view<toml::node> v, const std::string &at, conf_limits *out,
+		 bool needed)
+{
+	double ops = out->txn_ops;
+
+	r.number(v["rps"], at + ".rps", &out->rps, needed, 1);
+	r.number(v["write_rps"], at + ".write_rps", &out->write_rps, needed, 1);
+	r.number(v["value_kb"], at + ".value_kb", &out->value_kb, needed,
+		 LIMITS_VALUE_FLOOR / 1024.0);
+	r.number(v["txn_ops"], at + ".txn_ops", &ops, needed, LIMITS_TXN_OPS_MIN);
+	out->txn_ops = static_cast<int>(ops);
+}
+
 void read_facts(reader &r, toml::table &t, conf *c)
 {
 	const double some = 1e-9;
-	double ops = 0, conns = 0;
+	double conns = 0;
 	auto f = t["facts"];
 
 	r.number(f["skew_ms"], "facts.skew_ms", &c->skew_ms, false, 0);
@@ -146,17 +161,16 @@
 	r.number(f["workers"]["gang_peer_s"], "facts.workers.gang_peer_s", &c->gang_peer_s, true,
 		 some);
 	r.number(f["workers"]["cancel_s"], "facts.workers.cancel_s", &c->cancel_s, true, some);
-	r.number(f["state"]["rps"], "facts.state.rps", &c->state_rps, true, 1);
-	r.number(f["state"]["write_rps"], "facts.state.write_rps", &c->state_write_rps, true, 1);
-	r.number(f["state"]["value_kb"], "facts.state.value_kb", &c->value_kb, true, 1);
-	r.number(f["state"]["txn_ops"], "facts.state.txn_ops", &ops, true, 4);
+	read_limits(r, f["state"], "facts.state", &c->limits, true);
+	if (f["state"]["next"] && !f["state"]["next"].is_table())
+		r.fail("facts.state.next", "must be a table");
+	read_limits(r, f["state"]["next"], "facts.state.next", &c->next_limits, false);
 	r.number(f["cloud"]["rps"], "facts.cloud.rps", &c->cloud_rps, true, some);
 	r.number(f["cloud"]["list_lag_s"], "facts.cloud.list_lag_s", &c->list_lag_s, true, 0);
 	r.number(f["resources"]["cores"], "facts.resources.cores", &c->cores, true, some);
 	r.number(f["resources"]["mem_mb"], "facts.resources.mem_mb", &c->mem_mb, true, 8);
 	r.number(f["resources"]["max_connections"], "facts.resources.max_connections", &conns, true,
 		 64);
-	c->txn_ops = static_cast<int>(ops);
 	c->max_connections = static_cast<int>(conns);
 }
 
--- a/src/constants.h
+++ b/src/constants.h
@@ -93,13 +93,29 @@
 	0.85		      /* share of write_rps the leader uses: the rest takes submissions    \
 			       */
 #define CHUNK_TASKS 128	      /* tasks whose bindings and done bits share one key, below 8 KiB */
-#define CHUNK_ENTRY_BYTES 56  /* bytes of one binding in it beside the machine's name */
-#define CHUNK_SPARE_BYTES 400 /* bytes of a value beside its bindings: the done bits, braces */
+#define CHUNK_ENTRY_BYTES 100 /* bytes of one more binding in it: long names of machine and zone   \
+			       */
+#define CHUNK_SPARE_BYTES 64  /* bytes of a value beside its bindings: the done bits, braces */
 #define FINAL_WAIT_S 1.0      /* seconds for the other tasks of a done job to be heard of */
 #define JOBS_EVERY_S 0.25     /* seconds between looks for them */
 #define END_DELAY_S 0.8	      /* seconds an end waits for company: proof and forget wait with it */
 #define ATTEMPT_SHIFT 20      /* bits: a million starts under one token */
 
+/* --- limits of the state service --- */
+#define LIMITS_TXN_OPS_MIN 2   /* changes: a job's end and the format's version need two */
+#define LIMITS_VALUE_FLOOR 512 /* bytes: a smaller value is not refused for its size */
+#define LIMITS_LEARNED_S 60.0  /* seconds that a limit below the settings is kept to */
+#define LIMITS_WAIT_S 2.0      /* seconds before a value that is too large is looked at again */
+#define LIMITS_REFUSED_S 5.0   /* seconds before what can't be made smaller is sent again */
+
+/* --- versions of the records' format --- */
+#define FORMAT_CHUNKS 1 /* bindings in records of CHUNK_TASKS tasks */
+#define FORMAT_PIECES 2 /* bindings in records of PIECE_TASKS tasks */
+#define FORMAT_NEWEST FORMAT_PIECES
+#define FORMAT_REGISTER_S 1.0 /* seconds before our own version is written again */
+#define FORMAT_LOOK_S 1.0     /* seconds between the leader's looks at all versions */
+#define PIECE_TASKS 32 /* tasks whose bindings fit a value of 2 KiB, each of another start */
+
 /* --- load --- */
 #define RANGE_LIMIT 500	  /* items per page: pages stay below 512 KiB */
 #define JOBS_WATCH_MS 700 /* ms the jobs' watch blocks: we serve on its last answer */
--- a/src/core/commit.c
+++ b/src/core/commit.c
@@ -14,7 +14,8 @@
 #include "core/state.h"
 #include "util/log.h"
 
-static struct write *write_new(enum write_kind kind, struct job *j, uint32_t chunk)
+static struct write *write_add(struct write **list, enum write_kind kind, struct job *j,
+			       uint32_t chunk)
 {
 	struct write *w = calloc(1, sizeof(*w));
 
@@ -23,75 +24,83 @@
 	w->kind = kind;
 	w->job = j;
 	w->chunk = chunk;
+	w->list = list;
+	DL_APPEND(*list, w);
 	return w;
 }
 
-static struct write *queued_chunk(struct core *c, const struct job *j, uint32_t chunk)
+/* Out of the queue that it waits in. */
+static void write_unlist(struct write *w)
 {
-	struct write *w;
+	DL_DELETE(*w->list, w);
+	w->list = NULL;
+	if (w->kind == WR_CHUNK)
+		w->job->chunks[w->chunk].queued = NULL;
+}
 
-	DL_FOREACH (c->writes, w)
-		if (w->job == j && w->chunk == chunk)
-			return w;
-	return NULL;
+static void write_move(struct write *w, struct write **list)
+{
+	DL_DELETE(*w->list, w);
+	w->list = list;
+	DL_APPEND(*list, w);
 }
 
 /* The chunk that holds the task is to be written, at the latest after `delay_s`. */
 void commit_chunk(struct core *c, struct job *j, uint32_t task, double delay_s)
 {
-	uint32_t k = task / CHUNK_TASKS;
+	uint32_t k = job_chunk_of(j, task);
 	struct write *w;
 
 	if (k >= job_chunks(j) || (j->final_queued && !j->chunks[k].nbound && !j->final_done))
 		return;
-	if (j->chunks[k].queued) {
-		if (delay_s > 0)
-			return;
-		w = queued_chunk(c, j, k);
-	} else {
-		w = write_new(WR_CHUNK, j, k);
+	w = j->chunks[k].queued;
+	if (!w) {
+		w = write_add(&c->writes, WR_CHUNK, j, k);
+		w->due = c->now + delay_s;
+		j->chunks[k].queued = w;
+	} else if (w->list == &c->migrations) {
+		write_move(w, &c->writes);
 		w->due = c->now + delay_s;
-		DL_APPEND(c->writes, w);
-		j->chunks[k].queued = true;
 	}
 	if (w->due > c->now + delay_s)
 		w->due = c->now + delay_s;
 }
 
-/* A chunk whose job is over is dropped when there is room for it. */
-void commit_drop(struct core *c, const char *id, uint32_t chunk, uint64_t version)
+void commit_migrate(struct core *c, struct job *j, uint32_t chunk)
+{
+	if (!j->chunks[chunk].queued)
+		j->chunks[chunk].queued = write_add(&c->migrations, WR_CHUNK, j, chunk);
+}
+
+void commit_drop(struct core *c, const char *key, uint64_t version)
 {
-	struct write *w = write_new(WR_DROP, NULL, chunk);
+	struct write *w = write_add(&c->drops, WR_DROP, NULL, 0);
 
-	snprintf(w->id, sizeof(w->id), "%s", id);
+	snprintf(w->key, sizeof(w->key), "%s", key);
 	w->version = version;
-	DL_APPEND(c->drops, w);
 }
 
 static void unqueue_chunks(struct core *c, struct job *j)
 {
-	struct write *w, *tmp;
+	(void)c;
+	for (uint32_t k = 0; k < job_chunks(j); k++) {
+		struct write *w = j->chunks[k].queued;
 
-	DL_FOREACH_SAFE (c->writes, w, tmp) {
-		if (w->job != j)
+		if (!w)
 			continue;
-		j->chunks[w->chunk].queued = false;
-		DL_DELETE(c->writes, w);
+		write_unlist(w);
 		free(w);
 	}
 }
 
 void commit_final(struct core *c, struct job *j)
 {
-	struct write *w;
-
 	if (j->final_queued)
 		return;
 	j->final_queued = true;
 	/* The final record stands for the chunks that were still to be written. */
 	unqueue_chunks(c, j);
-	w = write_new(WR_FINAL, j, 0);
-	DL_APPEND(c->finals_due, w);
+	write_add(&c->finals_due, WR_FINAL, j, 0);
 }
 
 static void drop_list(struct write **list)
@@ -115,75 +124,32 @@
 void commit_clear(struct core *c)
 {
 	drop_list(&c->writes);
+	drop_list(&c->migrations);
 	drop_list(&c->finals_due);
 	drop_list(&c->drops);
 	commit_clear_flight(c);
 }
 
+void commit_forget_chunks(struct core *c)
+{
+	drop_list(&c->writes);
+	drop_list(&c->migrations);
+}
+
 bool commit_settled(const struct job *j, uint32_t task)
 {
-	const struct chunk *k = &j->chunks[task / CHUNK_TASKS];
+	const struct chunk *k = &j->chunks[job_chunk_of(j, task)];
 
 	if (j->final_queued)
 		return j->final_done;
 	return !k->queued && !k->flying;
 }
 
-/* --- keys and values --- */
-
 static void key_job(char *key, const struct job *j)
 {
 	snprintf(key, KEY_MAX, JOBS_OPEN "%s", j->spec.id);
 }
 
-void key_chunk(char *key, const char *id, uint32_t chunk)
-{
-	snprintf(key, KEY_MAX, JOBS_BOUND "%s/%u", id, chunk);
-}
-
-static char *done_text(const struct job *j, uint32_t chunk)
-{
-	uint32_t first = chunk * CHUNK_TASKS, n = j->spec.ntasks - first;
-
-	return bits_encode(j->done + first / 8, n < CHUNK_TASKS ? n : CHUNK_TASKS);
-}
-
-/* The list of one start and zone: [attempt, zone, task, machine, task, machine, ...] */
-static json_t *group_of(json_t *groups, const struct binding *b)
-{
-	json_t *g;
-	size_t i;
-
-	json_array_foreach (groups, i, g) {
-		if ((uint64_t)json_integer_value(json_array_get(g, 0)) == b->attempt &&
-		    !strcmp(json_string_value(json_array_get(g, 1)), b->machine->zone))
-			return g;
-	}
-	g = json_pack("[I,s]", (json_int_t)b->attempt, b->machine->zone);
-	json_array_append_new(groups, g);
-	return g;
-}
-
-static json_t *chunk_value(const struct job *j, uint32_t chunk)
-{
-	char *text = done_text(j, chunk);
-	json_t *groups = json_array();
-	struct binding *b;
-
-	DL_FOREACH2 (j->bindings, b, jnext) {
-		json_t *g;
-
-		if (b->task / CHUNK_TASKS != chunk)
-			continue;
-		g = group_of(groups, b);
-		json_array_append_new(g, json_integer((json_int_t)b->task));
-		json_array_append_new(g, json_string(b->machine->id));
-	}
-	groups = json_pack("{s:s,s:o}", "done", text, "bound", groups);
-	free(text);
-	return groups;
-}
-
 /* --- building --- */
 
 /* On record, and nothing is bound in it or about to be written of it. */
@@ -203,30 +169,20 @@
 	return n;
 }
 
-static size_t write_bytes(const struct write *w)
-{
-	if (w->kind == WR_CHUNK)
-		return CHUNK_SPARE_BYTES + w->job->chunks[w->chunk].bytes;
-	return w->kind == WR_DROP ? 200 : 600;
-}
-
 /* Cancelled stays cancelled, even if the last task was done before its stop arrived. */
 static enum job_state final_state(const struct job *j)
 {
 	return j->cancelled ? JS_CANCELLED : JS_DONE;
 }
 
-static void add_drop(struct txn *t, const char *id, uint32_t chunk, uint64_t version)
+static void add_drop(struct txn *t, const char *key, uint64_t version)
 {
-	char key[KEY_MAX];
-
-	key_chunk(key, id, chunk);
 	txn_guard(t, key, version);
 	txn_drop(t, key);
 }
 
 /* Chunks beyond what one transaction holds are left over, and dropped one by one afterwards. */
-static void add_final(struct txn *t, struct job *j, int most)
+static void add_final(struct txn *t, const struct job *j, int most)
 {
 	char key[KEY_MAX], fkey[KEY_MAX];
 	int n = 2;
@@ -243,7 +199,8 @@
 	for (uint32_t k = 0; k < job_chunks(j) && n < most; k++) {
 		if (!chunk_idle(&j->chunks[k]))
 			continue;
-		add_drop(t, j->spec.id, k, j->chunks[k].version);
+		task_record_key(key, j, k);
+		add_drop(t, key, j->chunks[k].version);
 		j->chunks[k].ending = true;
 		n++;
 	}
@@ -255,34 +212,47 @@
 	return w->job->ghost && !w->job->chunks[w->chunk].nbound;
 }
 
-static void add_chunk(struct txn *t, struct write *w)
+/* The bytes of the chunk's value; 0 if its record goes. */
+static size_t add_chunk(struct txn *t, const struct write *w)
 {
-	struct job *j = w->job;
-	struct chunk *k = &j->chunks[w->chunk];
 	char key[KEY_MAX];
+
+	task_record_key(key, w->job, w->chunk);
+	txn_guard(t, key, w->job->chunks[w->chunk].version);
+	if (!chunk_ends(w))
+		return txn_put(t, key, task_record_value(w->job, w->chunk), 0);
+	txn_drop(t, key);
+	return 0;
+}
+
+/* Its bindings are on their way to the record as they are now. */
+static void chunk_flies(struct job *j, uint32_t chunk)
+{
 	struct binding *b;
 
-	key_chunk(key, j->spec.id, w->chunk);
-	txn_guard(t, key, k->version);
-	if (chunk_ends(w))
-		txn_drop(t, key);
-	else
-		txn_put(t, key, chunk_value(j, w->chunk), 0);
-	k->queued = false;
-	k->flying = true;
+	j->chunks[chunk].flying = true;
 	DL_FOREACH2 (j->bindings, b, jnext)
-		if (b->task / CHUNK_TASKS == w->chunk)
+		if (job_chunk_of(j, b->task) == chunk)
 			b->flying = true;
 }
 
-static void add_write(struct txn *t, struct write *w, int most)
+/* The bytes of its largest value, as far as that can grow. */
+static size_t add_write(struct txn *t, const struct write *w, int most)
 {
 	if (w->kind == WR_CHUNK)
-		add_chunk(t, w);
-	else if (w->kind == WR_FINAL)
+		return add_chunk(t, w);
+	if (w->kind == WR_FINAL)
 		add_final(t, w->job, most);
 	else
-		add_drop(t, w->id, w->chunk, w->version);
+		add_drop(t, w->key, w->version);
+	return 0;
+}
+
+/* The transaction that was to end the job is not sent. */
+static void final_unsent(struct job *j)
+{
+	for (uint32_t k = 0; k < job_chunks(j); k++)
+		j->chunks[k].ending = false;
 }
 
 /* --- outcomes --- */
@@ -314,18 +284,20 @@
 	k->flying = false;
 	k->version = dropped ? 0 : revision;
 	DL_FOREACH2 (j->bindings, b, jnext) {
-		if (b->task / CHUNK_TASKS != w->chunk)
+		if (job_chunk_of(j, b->task) != w->chunk)
 			continue;
 		if (b->flying && !b->committed)
 			binding_committed(c, b);
 		b->flying = false;
 	}
+	task_record_superseded(c, j, w->chunk);
 	job_release(c, j);
 }
 
 static void final_committed(struct core *c, struct job *j)
 {
 	enum job_state s = final_state(j);
+	char key[KEY_MAX];
 
 	log_info("job_final", "job=%s state=%s", j->spec.id, wire_job_state(s));
 	users_note_final(c, j->spec.id, s, j->spec.ntasks);
@@ -334,11 +306,15 @@
 	for (uint32_t k = 0; k < job_chunks(j); k++) {
 		struct chunk *x = &j->chunks[k];
 
+		if (!x->ending && chunk_idle(x)) {
+			task_record_key(key, j, k);
+			commit_drop(c, key, x->version);
+		}
 		if (x->ending)
 			x->version = 0;
-		else if (chunk_idle(x))
-			commit_drop(c, j->spec.id, k, x->version);
 		x->ending = false;
+		if (!x->nbound && !x->queued && !x->flying)
+			task_record_superseded(c, j, k);
 	}
 	job_release(c, j);
 }
@@ -365,6 +341,11 @@
 			 (unsigned long long)revision);
 		c->el.token = c->el.revision = revision;
 		c->attempts = 0;
+		if (c->flight.raises) {
+			election_raised(c, FORMAT_NEWEST, revision);
+			task_records_raise(c);
+			log_info("format", "raised=%d", FORMAT_NEWEST);
+		}
 		log_token(revision);
 		workers_fenced(c);
 	}
@@ -378,14 +359,15 @@
 
 	j->chunks[w->chunk].flying = false;
 	DL_FOREACH2 (j->bindings, b, jnext)
-		if (b->task / CHUNK_TASKS == w->chunk)
+		if (job_chunk_of(j, b->task) == w->chunk)
 			b->flying = false;
 	if (j->chunks[w->chunk].queued) {
 		free(w);
 		return;
 	}
-	j->chunks[w->chunk].queued = true;
+	j->chunks[w->chunk].queued = w;
 	w->due = c->now;
+	w->list = &c->writes;
 	DL_PREPEND(c->writes, w);
 }
 
@@ -399,8 +381,8 @@
 		if (w->kind == WR_CHUNK) {
 			requeue_chunk(c, w);
 		} else if (w->kind == WR_FINAL) {
-			for (uint32_t k = 0; k < job_chunks(w->job); k++)
-				w->job->chunks[k].ending = false;
+			final_unsent(w->job);
+			w->list = &c->finals_due;
 			DL_PREPEND(c->finals_due, w);
 		} else {
 			free(w); /* read again at the next take-over */
@@ -419,7 +401,7 @@
 		struct job *j = w->job;
 
 		if (w->kind == WR_CHUNK) {
-			key_chunk(k, j->spec.id, w->chunk);
+			task_record_key(k, j, w->chunk);
 			if (!strcmp(k, key))
 				j->chunks[w->chunk].version = version;
 		} else if (w->kind == WR_FINAL) {
@@ -483,7 +465,7 @@
 		if (w->kind == WR_DROP)
 			continue;
 		if (w->kind == WR_CHUNK)
-			key_chunk(key, w->job->spec.id, w->chunk);
+			task_record_key(key, w->job, w->chunk);
 		else
 			key_job(key, w->job);
 		c->flight.reads_out++;
@@ -497,6 +479,12 @@
  * A new token without an answer may have been written all the same, and its second copy then finds
  * it: only our own transaction writes our name over the token we hold.
  */
+/* The leader's key once the transaction under way is done. */
+static const char *fence_key(const struct core *c)
+{
+	return election_key(c->flight.raises ? FORMAT_NEWEST : c->el.format);
+}
+
 static void on_fence_read(struct core *c, struct call *call, int status, const char *body,
 			  size_t len)
 {
@@ -508,7 +496,7 @@
 		return;
 	store_heard(c, status);
 	if (status != 200 && status != 404) {
-		store_get(c, LEADER_KEY, on_fence_read, NULL);
+		store_get(c, fence_key(c), on_fence_read, NULL);
 		return;
 	}
 	o = status == 200 ? wire_parse(body, len) : NULL;
@@ -521,6 +509,26 @@
 	json_decref(o);
 }
 
+/*
+ * A definite answer: too many changes or too large a value, if the key of the leader has no part in
+ * it. What was sent so is not sent again unchanged, unless nothing of it can be smaller.
+ */
+static void refused(struct core *c, const char *body, size_t len)
+{
+	bool small =
+	    c->flight.nops <= LIMITS_TXN_OPS_MIN && c->flight.largest <= LIMITS_VALUE_FLOOR;
+
+	log_error("commit_refused", "nops=%d largest=%zu body=%.*s", c->flight.nops,
+		  c->flight.largest, (int)(len < 200 ? len : 200), body);
+	if (c->flight.fence) {
+		election_step_down(c, "lease_refused");
+		return;
+	}
+	limits_refused(c, c->flight.nops, c->flight.largest);
+	requeue(c);
+	c->commit_again = c->now + (small ? LIMITS_REFUSED_S : COMMIT_RETRY_S);
+}
+
 static void on_commit(struct core *c, struct call *call, int status, const char *body, size_t len)
 {
 	json_t *o;
@@ -538,8 +546,8 @@
 		o = wire_parse(body, len);
 		log_info("commit_conflict", "body=%.200s", body);
 		if (c->flight.fence)
-			store_get(c, LEADER_KEY, on_fence_read, NULL);
-		else if (wire_failed_has(o, LEADER_KEY))
+			store_get(c, fence_key(c), on_fence_read, NULL);
+		else if (wire_failed_has(o, election_key(c->el.format)))
 			election_step_down(c, "guard_failed");
 		else
 			reread(c);
@@ -547,12 +555,7 @@
 		return;
 	}
 	if (status == 400) {
-		log_error("commit_refused", "body=%.200s", body);
-		if (c->flight.fence)
-			election_step_down(c, "lease_refused");
-		else
-			requeue(c);
-		c->commit_again = c->now + COMMIT_RETRY_S;
+		refused(c, body, len);
 		return;
 	}
 	/*
@@ -567,7 +570,7 @@
 
 static void refill(struct core *c)
 {
-	allowance_fill(c, &c->puts, c->conf->state_write_rps * WRITE_SHARE_LEADER);
+	allowance_fill(c, &c->puts, limits_write_rps(c) * WRITE_SHARE_LEADER);
 }
 
 static void fly(struct core *c)
@@ -578,95 +581,177 @@
 	store_commit(c, strdup(c->flight.body), on_commit, NULL);
 }
 
+static void fly_txn(struct core *c, struct txn *t)
+{
+	c->flying = true;
+	c->flight.nops = t->nops;
+	c->flight.largest = t->largest;
+	c->flight.body = txn_finish(t);
+	fly(c);
+}
+
+/* The leader's key is written again, for a new token; with it, the format is raised if it can be.
+ */
 static void fly_fence(struct core *c)
 {
+	bool raises = format_wanted(c);
 	struct txn t;
 
 	txn_begin(&t);
-	txn_guard(&t, LEADER_KEY, c->el.token);
-	txn_put(&t, LEADER_KEY, election_value(c), c->el.lease);
-	c->flying = true;
+	txn_guard(&t, election_key(c->el.format), c->el.token);
+	if (raises)
+		txn_put(&t, LEADER_KEY, election_gate_value(FORMAT_NEWEST), 0);
+	txn_put(&t, election_key(raises ? FORMAT_NEWEST : c->el.format), election_value(c),
+		c->el.lease);
 	c->flight.fence = true;
-	c->flight.nops = 1;
-	c->flight.body = txn_finish(&t);
+	c->flight.raises = raises;
 	c->fence_wanted = false;
 	c->fence_at = c->now;
-	fly(c);
+	fly_txn(c, &t);
 }
 
-struct batch {
-	struct txn txn;
-	size_t bytes;
-	int nops;
+/* A binding that the chunk's last record does not hold and no transaction carries. */
+static struct binding *unrecorded(const struct job *j, uint32_t chunk)
+{
+	struct binding *b;
+
+	DL_FOREACH2 (j->bindings, b, jnext)
+		if (job_chunk_of(j, b->task) == chunk && !b->committed && binding_unsent(b))
+			return b;
+	return NULL;
+}
+
+/*
+ * The chunk's value is over the limit, as when that was lowered: bindings that were never on record
+ * are taken back. Without any, it waits until tasks have ended.
+ */
+static void chunk_too_large(struct core *c, struct write *w)
+{
+	struct job *j = w->job;
+	uint32_t chunk = w->chunk;
+	struct binding *b;
+
+	log_info("record_too_large", "job=%s chunk=%u bound=%u limit=%zu", j->spec.id, chunk,
+		 j->chunks[chunk].nbound, limits_value_bytes(c));
+	j->not_before = c->now + LIMITS_WAIT_S;
+	if (!unrecorded(j, chunk))
+		w->held_until = c->now + LIMITS_WAIT_S;
+	while ((b = unrecorded(j, chunk)))
+		binding_end(c, b, WHY_STOPPED);
+}
+
+enum batch_result {
+	BATCH_ADDED,
+	BATCH_SKIPPED, /* it can't be written now */
+	BATCH_FULL
 };
 
-/* False if the transaction has no room for it. */
-static bool batch_add(struct core *c, struct batch *t, struct write **list, struct write *w)
+static enum batch_result batch_add(struct core *c, struct txn *t, struct write *w)
 {
-	int most = c->conf->txn_ops, n = write_ops(w, most);
+	int most = limits_txn_ops(c), n = write_ops(w, most);
+	struct txn_mark mark = txn_mark(t);
+	size_t bytes;
 
-	if (t->nops && (t->nops + n > most || t->bytes + write_bytes(w) > COMMIT_BYTES ||
-			t->nops + n > c->puts.left))
-		return false;
-	DL_DELETE(*list, w);
+	if (c->now < w->held_until)
+		return BATCH_SKIPPED;
+	if (t->nops && (t->nops + n > most || t->nops + n > c->puts.left))
+		return BATCH_FULL;
+	bytes = add_write(t, w, most);
+	if (mark.nops && txn_bytes(t) > COMMIT_BYTES) {
+		txn_rollback(t, &mark);
+		if (w->kind == WR_FINAL)
+			final_unsent(w->job);
+		return BATCH_FULL;
+	}
+	if (bytes > limits_value_bytes(c)) {
+		txn_rollback(t, &mark);
+		chunk_too_large(c, w);
+		return BATCH_FULL; /* other writes may have left the queue with it */
+	}
+	write_unlist(w);
 	DL_APPEND(c->flight.items, w);
-	add_write(&t->txn, w, most);
-	t->nops += n;
-	t->bytes += write_bytes(w);
-	return true;
+	if (w->kind == WR_CHUNK)
+		chunk_flies(w->job, w->chunk);
+	return BATCH_ADDED;
+}
+
+/* The chunk has no record of its own, and needs none any more. */
+static bool chunk_needless(const struct write *w)
+{
+	return chunk_ends(w) && !w->job->chunks[w->chunk].version;
 }
 
-/* What is due; with it go the ends that could wait longer, as far as there is room. */
-static bool batch_chunks(struct core *c, struct batch *t, bool due)
+static void chunk_forget(struct core *c, struct write *w)
+{
+	struct job *j = w->job;
+
+	write_unlist(w);
+	task_record_superseded(c, j, w->chunk);
+	job_release(c, j);
+	free(w);
+}
+
+/* Chunks of the list that are due, or those that could wait; false if there is no room for all. */
+static bool batch_chunks(struct core *c, struct txn *t, struct write **list, bool due)
 {
 	struct write *w, *tmp;
 
-	DL_FOREACH_SAFE (c->writes, w, tmp)
-		if ((w->due <= c->now) == due && !w->job->chunks[w->chunk].flying &&
-		    !batch_add(c, t, &c->writes, w))
+	DL_FOREACH_SAFE (*list, w, tmp) {
+		if ((w->due <= c->now) != due || w->job->chunks[w->chunk].flying)
+			continue;
+		if (chunk_needless(w))
+			chunk_forget(c, w);
+		else if (batch_add(c, t, w) == BATCH_FULL)
 			return false;
+	}
 	return true;
 }
 
-static bool batch_all(struct core *c, struct batch *t, struct write **list)
+static bool batch_all(struct core *c, struct txn *t, struct write **list)
 {
 	while (*list)
-		if (!batch_add(c, t, list, *list))
+		if (batch_add(c, t, *list) == BATCH_FULL)
 			return false;
 	return true;
 }
 
+/* Enough of the rate is left for what can wait for ever. */
+static bool puts_spare(const struct core *c)
+{
+	return c->puts.left > limits_write_rps(c) / 2;
+}
+
 static void fly_writes(struct core *c)
 {
-	struct batch t = {0};
+	struct txn t;
 
-	txn_begin(&t.txn);
-	txn_guard(&t.txn, LEADER_KEY, c->el.token);
+	txn_begin(&t);
+	txn_guard(&t, election_key(c->el.format), c->el.token);
 	/* Ends of jobs first: they are few, and their users wait for the word. */
-	if (batch_all(c, &t, &c->finals_due) && batch_chunks(c, &t, true) && t.nops)
-		batch_chunks(c, &t, false);
+	if (batch_all(c, &t, &c->finals_due) && batch_chunks(c, &t, &c->writes, true) && t.nops)
+		batch_chunks(c, &t, &c->writes, false);
+	if (!t.nops)
+		batch_chunks(c, &t, &c->migrations, true);
 	if (!t.nops)
 		batch_all(c, &t, &c->drops);
-	c->flight.nops = t.nops;
-	log_debug("commit", "nops=%d bytes=%zu tokens=%.1f kind=%d", t.nops, t.bytes, c->puts.left,
-		  c->flight.items ? (int)c->flight.items->kind : -1);
-	c->flight.body = txn_finish(&t.txn);
-	if (!t.nops) {
-		commit_clear_flight(c);
+	log_debug("commit", "nops=%d largest=%zu tokens=%.1f kind=%d", t.nops, t.largest,
+		  c->puts.left, c->flight.items ? (int)c->flight.items->kind : -1);
+	if (t.nops) {
+		fly_txn(c, &t);
 		return;
 	}
-	c->flying = true;
-	fly(c);
+	txn_abandon(&t);
+	commit_clear_flight(c);
 }
 
 static bool anything_due(const struct core *c)
 {
 	const struct write *w;
 
-	if (c->finals_due || (c->drops && c->puts.left > c->conf->state_write_rps / 2))
+	if (c->finals_due || ((c->drops || c->migrations) && puts_spare(c)))
 		return true;
 	DL_FOREACH (c->writes, w)
-		if (w->due <= c->now)
+		if (w->due <= c->now && w->held_until <= c->now)
 			return true;
 	return false;
 }
@@ -683,7 +768,7 @@
 	refill(c);
 	if (c->puts.left < 1)
 		return;
-	if (c->fence_wanted && c->now - c->fence_at >= FENCE_EVERY_S)
+	if ((c->fence_wanted && c->now - c->fence_at >= FENCE_EVERY_S) || format_wanted(c))
 		fly_fence(c);
 	else if (anything_due(c))
 		fly_writes(c);
--- a/src/core/core.c
+++ b/src/core/core.c
@@ -20,6 +20,7 @@
 	c->now = now.steady;
 	c->wall = now.wall;
 	c->next_call = 1;
+	c->el.format = FORMAT_CHUNKS;
 	c->incarnation = seed;
 	c->rand48[0] = (unsigned short)seed;
 	c->rand48[1] = (unsigned short)(seed >> 16);
@@ -185,6 +186,7 @@
 {
 	set_time(c, now);
 	election_tick(c);
+	format_tick(c);
 	catalog_tick(c);
 	users_tick(c);
 	peers_tick(c);
--- a/src/core/election.c
+++ b/src/core/election.c
@@ -11,6 +11,19 @@
 #include "util/log.h"
 #include "wire/names.h"
 
+/* Formats after the first have a key of their own beside the one that older versions know. */
+#define LEADER_KEY_PIECES LEADER_KEY "/2"
+
+const char *election_key(int format)
+{
+	return format >= FORMAT_PIECES ? LEADER_KEY_PIECES : LEADER_KEY;
+}
+
+json_t *election_gate_value(int format)
+{
+	return json_pack("{s:o,s:i}", "name", json_sprintf("format-%d", format), "format", format);
+}
+
 json_t *election_value(const struct core *c)
 {
 	return json_pack("{s:s}", "name", c->conf->name);
@@ -43,6 +56,12 @@
 	election_reread(c);
 }
 
+void election_raised(struct core *c, int format, uint64_t revision)
+{
+	c->el.format = format;
+	c->el.gate_revision = revision;
+}
+
 static void on_nothing(struct core *c, struct call *call, int status, const char *body, size_t len)
 {
 	(void)c;
@@ -109,6 +128,18 @@
 		election_step_down(c, "state_unreachable");
 }
 
+/* A term's own new token is on its way: what the key tells meanwhile is for its answer to judge. */
+static bool token_changes(const struct core *c)
+{
+	return c->el.role != ROLE_FOLLOW && c->flying && c->flight.fence;
+}
+
+/* An answer from before the term's own write: versions of a key only grow. */
+static bool older_than_term(const struct core *c, const struct kv_item *it)
+{
+	return c->el.role != ROLE_FOLLOW && it->version && it->version < c->el.token;
+}
+
 static void heard_leader(struct core *c, const struct kv_item *it)
 {
 	const char *name = it->value ? json_string_value(json_object_get(it->value, "name")) : NULL;
@@ -120,51 +151,103 @@
 		c->el.leader[0] = 0;
 	log_debug("leader", "name=%s revision=%llu", c->el.leader,
 		  (unsigned long long)c->el.revision);
-	if (c->el.role != ROLE_FOLLOW && c->el.revision != c->el.token &&
-	    !(c->flying && c->flight.fence))
+	if (c->el.role != ROLE_FOLLOW && c->el.revision != c->el.token)
 		election_step_down(c, "key_taken");
 }
 
+/*
+ * LEADER_KEY tells the records' format as well. A format that this version does not know leaves it
+ * a follower: the key then names a leader that it can't find, and is never free.
+ */
+static void heard_format(struct core *c, const struct kv_item *it)
+{
+	json_t *format = it->value ? json_object_get(it->value, "format") : NULL;
+	int known = format ? (int)json_integer_value(format) : FORMAT_CHUNKS;
+
+	if (known == c->el.format)
+		return;
+	log_info("format", "old=%d new=%d", c->el.format, known);
+	c->el.format = known;
+	c->el.gate_revision = it->value ? it->version : 0;
+	/* The key of the new format may be free, or be told of next. */
+	c->el.leader[0] = 0;
+	c->el.revision = 0;
+	if (c->el.role != ROLE_FOLLOW)
+		election_step_down(c, "format_raised");
+}
+
+/* The two keys of one read, or of one answer of the watch. */
+struct leader_keys {
+	struct core *c;
+	bool found; /* the key whose holder leads */
+};
+
+static void read_format(void *ctx, const struct kv_item *it)
+{
+	struct leader_keys *keys = ctx;
+
+	if (!strcmp(it->key, LEADER_KEY) && !older_than_term(keys->c, it))
+		heard_format(keys->c, it);
+}
+
+static void read_leader(void *ctx, const struct kv_item *it)
+{
+	struct leader_keys *keys = ctx;
+
+	if (strcmp(it->key, election_key(keys->c->el.format)))
+		return;
+	keys->found = true;
+	if (!older_than_term(keys->c, it))
+		heard_leader(keys->c, it);
+}
+
 static void on_read(struct core *c, struct call *call, int status, const char *body, size_t len)
 {
+	struct leader_keys keys = {c, false};
+	const struct kv_item absent = {0};
 	json_t *o;
-	struct kv_item it = {0};
 
 	(void)call;
 	c->el.reading = false;
 	store_heard(c, status);
 	c->el.next_try = c->now + LEADER_REREAD_S;
-	if (status != 200 && status != 404)
+	if (status != 200 || token_changes(c))
 		return;
 	o = wire_parse(body, len);
-	if (status == 404) {
-		it.version = 0;
-		c->el.watched = wire_revision(o);
-	} else if (wire_kv(o, &it)) {
-		json_decref(o);
-		return;
-	} else {
-		c->el.watched = it.version;
-	}
+	c->el.watched = wire_revision(o);
 	c->el.known = true;
-	heard_leader(c, &it);
+	wire_items(o, read_format, &keys);
+	wire_items(o, read_leader, &keys);
+	if (!keys.found)
+		heard_leader(c, &absent);
 	json_decref(o);
 }
 
-static void watch_item(void *ctx, const struct kv_item *it)
+/* News from before our own write: the watch may lag behind the answers. */
+static bool leader_news(const struct core *c, const struct kv_item *it)
 {
-	struct core *c = ctx;
+	return !token_changes(c) && (c->el.role == ROLE_FOLLOW || it->version > c->el.token);
+}
 
-	if (strcmp(it->key, LEADER_KEY))
-		return;
-	/* News from before our own write: the watch may lag behind the answers. */
-	if (c->el.role != ROLE_FOLLOW && it->version <= c->el.token)
-		return;
-	heard_leader(c, it);
+static void watch_format(void *ctx, const struct kv_item *it)
+{
+	struct leader_keys *keys = ctx;
+
+	if (leader_news(keys->c, it))
+		read_format(ctx, it);
+}
+
+static void watch_leader(void *ctx, const struct kv_item *it)
+{
+	struct leader_keys *keys = ctx;
+
+	if (leader_news(keys->c, it))
+		read_leader(ctx, it);
 }
 
 static void on_watch(struct core *c, struct call *call, int status, const char *body, size_t len)
 {
+	struct leader_keys keys = {c, false};
 	json_t *o;
 
 	(void)call;
@@ -180,7 +263,8 @@
 	o = wire_parse(body, len);
 	if (wire_revision(o) > c->el.watched)
 		c->el.watched = wire_revision(o);
-	wire_items(o, watch_item, c);
+	wire_items(o, watch_format, &keys);
+	wire_items(o, watch_leader, &keys);
 	json_decref(o);
 }
 
@@ -232,8 +316,10 @@
 	c->el.renewed = call->sent;
 	c->el.next_renew = call->sent + LEADER_RENEW_S;
 	txn_begin(&t);
-	txn_guard(&t, LEADER_KEY, c->el.revision);
-	txn_put(&t, LEADER_KEY, election_value(c), c->el.lease);
+	txn_guard(&t, election_key(c->el.format), c->el.revision);
+	if (c->el.format >= FORMAT_PIECES)
+		txn_guard(&t, LEADER_KEY, c->el.gate_revision);
+	txn_put(&t, election_key(c->el.format), election_value(c), c->el.lease);
 	store_commit(c, txn_finish(&t), on_claim, NULL);
 }
 
@@ -279,7 +365,7 @@
 	if (!e->known) {
 		if (!e->reading && c->now >= e->next_try) {
 			e->reading = true;
-			store_get(c, LEADER_KEY, on_read, NULL);
+			store_range(c, LEADER_KEY, "", on_read, NULL);
 		}
 	} else if (!e->watching) {
 		e->watching = true;
@@ -291,6 +377,6 @@
 		return;
 	}
 	if (e->known && !*e->leader && !e->claiming && c->now >= e->next_try &&
-	    c->now >= e->stand_back)
+	    c->now >= e->stand_back && e->format <= FORMAT_NEWEST)
 		claim(c);
 }
--- /dev/null
+++ b/src/core/format.c
@@ -0,0 +1,111 @@
+/*
+ * The cluster's format version. Each controller commits the newest format that it reads under a key
+ * of its own. Once all have, the leader raises the format of the records with one transaction
+ * (commit.c); until then it writes only what every version reads. No controller has to be up for
+ * it.
+ */
+#include <stdio.h>
+#include <string.h>
+
+#include "core/state.h"
+#include "util/log.h"
+
+#define VERSIONS "v/"
+
+/* --- our own version --- */
+
+static void on_registered(struct core *core, struct call *call, int status, const char *body,
+			  size_t len)
+{
+	(void)call;
+	(void)body;
+	(void)len;
+	store_heard(core, status);
+	core->format.registering = false;
+	core->format.registered = status == 200;
+	core->format.register_at = core->now + FORMAT_REGISTER_S;
+}
+
+static void register_version(struct core *core)
+{
+	char key[CONF_NAME_MAX + sizeof(VERSIONS)];
+	struct txn txn;
+
+	snprintf(key, sizeof(key), VERSIONS "%s", core->conf->name);
+	txn_begin(&txn);
+	txn_put(
+	    &txn, key,
+	    json_pack("{s:i}", "format", core->conf->hold_format ? FORMAT_CHUNKS : FORMAT_NEWEST),
+	    0);
+	core->format.registering = true;
+	store_commit(core, txn_finish(&txn), on_registered, NULL);
+}
+
+/* --- the leader's look at all versions --- */
+
+struct version_count {
+	struct core *core;
+	size_t newest; /* controllers of this cluster that read the newest format */
+};
+
+static bool is_member(const struct core *core, const char *name)
+{
+	if (!strcmp(name, core->conf->name))
+		return true;
+	for (size_t i = 0; i < core->conf->npeers; i++)
+		if (!strcmp(name, core->conf->peers[i].name))
+			return true;
+	return false;
+}
+
+static void count_version(void *ctx, const struct kv_item *item)
+{
+	struct version_count *count = ctx;
+	json_int_t format = json_integer_value(json_object_get(item->value, "format"));
+
+	if (format >= FORMAT_NEWEST && is_member(count->core, item->key + strlen(VERSIONS)))
+		count->newest++;
+}
+
+static void on_versions(struct core *core, struct call *call, int status, const char *body,
+			size_t len)
+{
+	struct version_count count = {core, 0};
+	json_t *answer;
+
+	store_heard(core, status);
+	if (election_stale(core, call))
+		return;
+	core->format.looking = false;
+	if (status != 200)
+		return;
+	answer = wire_parse(body, len);
+	wire_items(answer, count_version, &count);
+	json_decref(answer);
+	core->format.all_read_newest = count.newest == core->conf->npeers + 1;
+}
+
+bool format_wanted(const struct core *core)
+{
+	return core->el.format < FORMAT_NEWEST && core->format.all_read_newest;
+}
+
+void format_tick(struct core *core)
+{
+	struct format_watch *format = &core->format;
+
+	if (!format->registered && !format->registering && core->now >= format->register_at)
+		register_version(core);
+	if (core->el.role != ROLE_LEAD || core->el.format >= FORMAT_NEWEST ||
+	    format->all_read_newest || format->looking || core->now < format->look_at)
+		return;
+	format->looking = true;
+	format->look_at = core->now + FORMAT_LOOK_S;
+	store_range(core, VERSIONS, "", on_versions, NULL);
+}
+
+void format_clear(struct core *core)
+{
+	core->format.looking = false;
+	core->format.all_read_newest = false;
+}
--- a/src/core/jobs.c
+++ b/src/core/jobs.c
@@ -21,7 +21,12 @@
 
 uint32_t job_chunks(const struct job *j)
 {
-	return (j->spec.ntasks + CHUNK_TASKS - 1) / CHUNK_TASKS;
+	return (j->spec.ntasks + j->chunk_tasks - 1) / j->chunk_tasks;
+}
+
+uint32_t job_chunk_of(const struct job *j, uint32_t task)
+{
+	return task / j->chunk_tasks;
 }
 
 struct job *job_find(struct core *c, const char *id)
@@ -42,6 +47,7 @@
 	j->spec = *spec;
 	j->done = calloc(1, bytes);
 	j->bound = calloc(1, bytes);
+	j->chunk_tasks = c->el.format >= FORMAT_PIECES ? PIECE_TASKS : CHUNK_TASKS;
 	j->chunks = calloc(job_chunks(j), sizeof(*j->chunks));
 	if (!j->done || !j->bound || !j->chunks)
 		abort();
@@ -50,6 +56,30 @@
 	return j;
 }
 
+/* More of an array of which `count` elements are in use; the rest is zero. */
+static void *grown(void *array, size_t count, size_t wanted, size_t size)
+{
+	char *more = realloc(array, wanted * size);
+
+	if (!more)
+		abort();
+	memset(more + count * size, 0, (wanted - count) * size);
+	return more;
+}
+
+void job_grow(struct job *j, uint32_t ntasks)
+{
+	uint32_t chunks = job_chunks(j);
+	size_t bytes = (j->spec.ntasks + 7) / 8 + 1;
+
+	if (ntasks <= j->spec.ntasks)
+		return;
+	j->spec.ntasks = ntasks;
+	j->done = grown(j->done, bytes, (ntasks + 7) / 8 + 1, 1);
+	j->bound = grown(j->bound, bytes, (ntasks + 7) / 8 + 1, 1);
+	j->chunks = grown(j->chunks, chunks, job_chunks(j), sizeof(*j->chunks));
+}
+
 void job_free(struct core *c, struct job *j)
 {
 	plan_release(c, j);
@@ -57,6 +87,7 @@
 	free(j->done);
 	free(j->bound);
 	free(j->chunks);
+	free(j->old_chunks);
 	free(j);
 }
 
@@ -73,9 +104,8 @@
 /* Its record would grow beyond what one value may hold. */
 bool job_chunk_full(const struct core *c, const struct job *j, uint32_t task)
 {
-	return j->chunks[task / CHUNK_TASKS].bytes + CHUNK_SPARE_BYTES + CHUNK_ENTRY_BYTES +
-		   ID_MAX >
-	       c->conf->value_kb * 1024;
+	return j->chunks[job_chunk_of(j, task)].bytes + CHUNK_SPARE_BYTES + CHUNK_ENTRY_BYTES >
+	       limits_value_bytes(c);
 }
 
 uint32_t job_waiting(const struct job *j)
@@ -205,13 +235,14 @@
 		j->next_task = b->task;
 }
 
-static void chunk_count(const struct binding *b, int sign)
+static void chunk_count(struct binding *b, int sign)
 {
-	struct chunk *k = &b->job->chunks[b->task / CHUNK_TASKS];
-	int bytes = CHUNK_ENTRY_BYTES + (int)strlen(b->machine->id);
+	struct chunk *k = &b->job->chunks[job_chunk_of(b->job, b->task)];
 
+	if (sign > 0)
+		b->record_bytes = task_record_bytes(b);
 	k->nbound += (uint32_t)sign;
-	k->bytes += (uint32_t)(sign * bytes);
+	k->bytes += (uint32_t)sign * b->record_bytes;
 }
 
 struct binding *binding_add(struct core *c, struct machine *m, struct job *j, uint32_t task,
--- a/src/core/load.c
+++ b/src/core/load.c
@@ -7,8 +7,14 @@
 #include "core/state.h"
 #include "util/log.h"
 
-static const char *const prefixes[] = {JOBS_OPEN, JOBS_BOUND};
-#define NPREFIXES (sizeof(prefixes) / sizeof(prefixes[0]))
+/* In this order: an older record of tasks counts only where no newer one was read. */
+static const char *const prefixes_chunks[] = {JOBS_OPEN, JOBS_BOUND, NULL};
+static const char *const prefixes_pieces[] = {JOBS_OPEN, JOBS_PIECES, JOBS_BOUND, NULL};
+
+static const char *load_prefix(const struct core *c, size_t at)
+{
+	return (c->el.format >= FORMAT_PIECES ? prefixes_pieces : prefixes_chunks)[at];
+}
 
 struct load {
 	size_t at;
@@ -44,78 +50,6 @@
 	round_wanted(c);
 }
 
-/* A job whose final record is written, with tasks that may still be somewhere. */
-static struct job *ghost(struct core *c, const char *id)
-{
-	struct job_spec spec = {.ntasks = JOB_TASKS_MAX, .deadline_s = -1};
-	struct job *j;
-
-	snprintf(spec.id, sizeof(spec.id), "%s", id);
-	j = job_add(c, &spec);
-	j->ghost = true;
-	return j;
-}
-
-static void load_binding(struct core *c, struct job *j, json_t *group, size_t at)
-{
-	const char *zone = json_string_value(json_array_get(group, 1));
-	const char *id = json_string_value(json_array_get(group, at + 1));
-	uint64_t attempt = (uint64_t)json_integer_value(json_array_get(group, 0));
-	uint32_t task = (uint32_t)json_integer_value(json_array_get(group, at));
-	struct machine *m;
-	struct binding *b;
-
-	if (!id || strlen(id) >= ID_MAX || task >= j->spec.ntasks)
-		return;
-	m = machine_get(c, id);
-	if (zone && !*m->zone)
-		snprintf(m->zone, sizeof(m->zone), "%s", zone);
-	b = binding_add(c, m, j, task, attempt);
-	b->loaded = b->committed = true;
-	j->uncommitted--;
-	if (attempt > j->attempt)
-		j->attempt = attempt;
-}
-
-static void load_bits(struct job *j, uint32_t chunk, const char *bits)
-{
-	uint32_t first = chunk * CHUNK_TASKS, n = j->spec.ntasks - first;
-
-	bits_decode(bits, j->done + first / 8, n < CHUNK_TASKS ? n : CHUNK_TASKS);
-}
-
-static void load_chunk(struct core *c, const char *rest, json_t *value, uint64_t version)
-{
-	const char *slash = strchr(rest, '/');
-	const char *bits = json_string_value(json_object_get(value, "done"));
-	json_t *groups = json_object_get(value, "bound"), *g;
-	char id[ID_MAX];
-	struct job *j;
-	uint32_t chunk;
-	size_t i;
-
-	if (!slash || (size_t)(slash - rest) >= sizeof(id))
-		return;
-	memcpy(id, rest, (size_t)(slash - rest));
-	id[slash - rest] = 0;
-	chunk = (uint32_t)strtoul(slash + 1, NULL, 10);
-	j = job_find(c, id);
-	if (!j && !json_array_size(groups)) {
-		commit_drop(c, id, chunk, version); /* left over from a job that is done */
-		return;
-	}
-	if (!j)
-		j = ghost(c, id);
-	if (chunk >= job_chunks(j))
-		return;
-	j->chunks[chunk].version = version;
-	if (bits)
-		load_bits(j, chunk, bits);
-	json_array_foreach (groups, i, g)
-		for (size_t k = 2; k + 1 < json_array_size(g); k += 2)
-			load_binding(c, j, g, k);
-}
-
 struct load_ctx {
 	struct core *c;
 	struct load *l;
@@ -129,7 +63,7 @@
 	if (x->l->at == 0)
 		load_job_record(x->c, it->key + strlen(JOBS_OPEN), it->value, it->version);
 	else
-		load_chunk(x->c, it->key + strlen(JOBS_BOUND), it->value, it->version);
+		task_record_load(x->c, it);
 }
 
 static void load_finish(struct core *c)
@@ -153,12 +87,15 @@
 			DL_FOREACH2 (j->bindings, b, jnext)
 				binding_stop(c, b, 0);
 	}
-	HASH_ITER (hh, c->jobs, j, tmp)
+	HASH_ITER (hh, c->jobs, j, tmp) {
+		task_records_migrate(c, j);
 		job_settle(c, j);
+		job_release(c, j);
+	}
 	c->el.role = ROLE_LEAD;
 	c->lead_since = c->now;
 	c->puts.filled = c->now;
-	c->puts.left = c->conf->state_write_rps * WRITE_SHARE_LEADER;
+	c->puts.left = limits_write_rps(c) * WRITE_SHARE_LEADER;
 	log_info("lead", "state=leading jobs=%u machines=%u", HASH_COUNT(c->jobs),
 		 HASH_COUNT(c->machines));
 	round_wanted(c);
@@ -168,7 +105,7 @@
 
 static void ask_page(struct core *c, struct load *l)
 {
-	store_range(c, prefixes[l->at], l->last, on_page, l)->drop = free;
+	store_range(c, load_prefix(c, l->at), l->last, on_page, l)->drop = free;
 }
 
 static void on_page(struct core *c, struct call *call, int status, const char *body, size_t len)
@@ -198,7 +135,7 @@
 		l->last[0] = 0;
 	}
 	json_decref(o);
-	if (l->at < NPREFIXES) {
+	if (load_prefix(c, l->at)) {
 		ask_page(c, l);
 		return;
 	}
@@ -270,6 +207,7 @@
 
 	commit_clear(c);
 	rent_clear(c);
+	format_clear(c);
 	c->kicked = NULL;
 	HASH_ITER (hh, c->machines, m, mtmp) {
 		struct binding *b, *tmp;
--- a/src/core/pair.c
+++ b/src/core/pair.c
@@ -29,6 +29,7 @@
 	uint64_t conn; /* the leader's request; 0: the leader's own part */
 	Peer__Part *part;
 	struct pair_count *counts;
+	json_int_t quantum; /* of the controller whose values are read */
 };
 
 static void counts_free(struct pair_count **counts)
@@ -131,6 +132,23 @@
 	free(list);
 }
 
+/*
+ * A controller that had more to say some quanta ago left further values behind. Its first value,
+ * which comes before them, tells its newest quantum.
+ */
+static bool counts_left_over(struct pair_work *w, const struct kv_item *it)
+{
+	json_int_t quantum = json_integer_value(json_object_get(it->value, "quantum"));
+	const char *name = it->key + strlen("p/");
+	size_t len = strcspn(name, "/");
+
+	if (!name[len]) {
+		w->quantum = quantum;
+		return false;
+	}
+	return quantum != w->quantum;
+}
+
 static void sum_item(void *ctx, const struct kv_item *it)
 {
 	struct pair_work *w = ctx;
@@ -140,6 +158,8 @@
 	/* Counts of an earlier leader's quantum say nothing about this one. */
 	if ((uint64_t)json_integer_value(json_object_get(it->value, "token")) != w->part->token)
 		return;
+	if (counts_left_over(w, it))
+		return;
 	json_object_foreach (json_object_get(it->value, "counts"), job, v) {
 		if (strlen(job) < ID_MAX)
 			count_get(&w->counts, job)->slots += json_number_value(v);
@@ -179,18 +199,60 @@
 	work_free(w);
 }
 
-/* Starts on a part: the own counts are written as one value. */
+#define COUNTS_FRAME_BYTES 64 /* of a value beside its entries: names, token, quantum */
+#define COUNT_FRAME_BYTES 16  /* of an entry beside the job's id */
+
+static void add_counts_value(const struct core *c, struct txn *t, uint64_t token, int index,
+			     json_t *counts)
+{
+	char key[CONF_NAME_MAX + 16];
+
+	if (index)
+		snprintf(key, sizeof(key), "p/%s/%d", c->conf->name, index);
+	else
+		snprintf(key, sizeof(key), "p/%s", c->conf->name);
+	txn_put(t, key,
+		json_pack("{s:I,s:I,s:o}", "token", (json_int_t)token, "quantum",
+			  (json_int_t)c->pair_quantum, "counts", counts),
+		0);
+}
+
+/*
+ * Our counts as one value, as several where one would be too large. Jobs that fit in none are not
+ * drawn in this quantum.
+ */
+static void add_counts(struct core *c, struct txn *t, uint64_t token, struct pair_count *own)
+{
+	size_t most = limits_job_record_bytes(c), bytes = COUNTS_FRAME_BYTES;
+	json_t *counts = json_object();
+	struct pair_count *p, *tmp;
+
+	c->pair_quantum++;
+	HASH_ITER (hh, own, p, tmp) {
+		size_t more = strlen(p->id) + COUNT_FRAME_BYTES;
+
+		if (bytes + more > most && t->nops + 1 >= limits_txn_ops(c))
+			break;
+		if (bytes + more > most) {
+			add_counts_value(c, t, token, t->nops, counts);
+			counts = json_object();
+			bytes = COUNTS_FRAME_BYTES;
+		}
+		json_object_set_new(counts, p->id, json_integer((json_int_t)p->slots));
+		bytes += more;
+	}
+	add_counts_value(c, t, token, t->nops, counts);
+}
+
+/* Starts on a part: the own counts are written. */
 static void pair_begin(struct core *c, uint64_t conn, const uint8_t *data, size_t len)
 {
 	Peer__Part *part = peer__part__unpack(NULL, len, data);
-	struct pair_count *own = NULL, *p, *tmp;
-	json_t *counts = json_object();
+	struct pair_count *own = NULL;
 	struct pair_work *w;
-	char key[CONF_NAME_MAX + 4];
 	struct txn t;
 
 	if (!part) {
-		json_decref(counts);
 		core_reply_error(c, conn, 400, 0, "part");
 		return;
 	}
@@ -203,13 +265,9 @@
 		count_get(&w->counts, part->open[i]->job)->open = true;
 	for (size_t i = 0; i < part->n_slots; i++)
 		count_get(&own, part->slots[i]->job)->slots++;
-	HASH_ITER (hh, own, p, tmp)
-		json_object_set_new(counts, p->id, json_integer((json_int_t)p->slots));
-	counts_free(&own);
-	snprintf(key, sizeof(key), "p/%s", c->conf->name);
 	txn_begin(&t);
-	txn_put(&t, key, json_pack("{s:I,s:o}", "token", (json_int_t)part->token, "counts", counts),
-		0);
+	add_counts(c, &t, part->token, own);
+	counts_free(&own);
 	store_commit(c, txn_finish(&t), on_written, w)->drop = work_free;
 }
 
--- a/src/core/place.c
+++ b/src/core/place.c
@@ -141,6 +141,17 @@
 	return (c->el.token << ATTEMPT_SHIFT) + ++c->attempts;
 }
 
+/*
+ * Tasks of arrays and services tell starts apart by it, and none starts twice in a round: they
+ * share the round's, so that a record names it once.
+ */
+static uint64_t round_attempt(struct round *r)
+{
+	if (!r->attempt)
+		r->attempt = new_attempt(r->c);
+	return r->attempt;
+}
+
 static void place(struct round *r, struct job *j, struct machine *m, uint32_t task,
 		  uint64_t attempt)
 {
@@ -340,7 +351,7 @@
 			note_no_room(r, j, 1);
 		return false;
 	}
-	place(r, j, m, task, new_attempt(r->c));
+	place(r, j, m, task, round_attempt(r));
 	return true;
 }
 
@@ -440,7 +451,7 @@
 		uint32_t task = j ? next_task(r->c, j) : 0;
 
 		if (j && task < j->spec.ntasks)
-			place(r, j, m, task, new_attempt(r->c));
+			place(r, j, m, task, round_attempt(r));
 	}
 }
 
--- a/src/core/rent.c
+++ b/src/core/rent.c
@@ -38,32 +38,60 @@
 	store_heard(c, status);
 }
 
-static void store_catalog(struct core *c)
+static void store_catalog_value(struct core *c, const char *key, json_t *value)
 {
 	struct txn t;
 
-	c->catalog_stored = true;
 	txn_begin(&t);
-	txn_guard(&t, CATALOG_KEY, 0);
-	txn_put(&t, CATALOG_KEY, wire_types_encode(c->types, c->ntypes), 0);
+	txn_guard(&t, key, 0);
+	txn_put(&t, key, value, 0);
 	store_commit(c, txn_finish(&t), on_nothing, NULL);
 }
 
+/* One value, or where that would be too large one for each type of machine. */
+static void store_catalog(struct core *c)
+{
+	json_t *all = wire_types_encode(c->types, c->ntypes);
+
+	c->catalog_stored = true;
+	if (wire_value_bytes(all) <= limits_job_record_bytes(c)) {
+		store_catalog_value(c, CATALOG_KEY, all);
+		return;
+	}
+	json_decref(all);
+	for (size_t i = 0; i < c->ntypes; i++) {
+		char key[KEY_MAX];
+
+		snprintf(key, sizeof(key), CATALOG_KEY "/%s", c->types[i].name);
+		store_catalog_value(c, key, wire_types_encode(&c->types[i], 1));
+	}
+}
+
+/* All types of all values, in the form of the cloud's answer. */
+static void merge_types(void *ctx, const struct kv_item *it)
+{
+	if (it->value)
+		json_array_extend(ctx, json_object_get(it->value, W_TYPES));
+}
+
 static void on_stored_catalog(struct core *c, struct call *call, int status, const char *body,
 			      size_t len)
 {
-	struct kv_item it;
-	json_t *o;
+	json_t *answer, *types, *all;
 
 	(void)call;
 	if (status != 200 || c->types)
 		return;
-	o = wire_parse(body, len);
-	if (!wire_kv(o, &it) && it.value && take_catalog(c, it.value)) {
+	answer = wire_parse(body, len);
+	types = json_array();
+	wire_items(answer, merge_types, types);
+	all = json_pack("{s:o}", W_TYPES, types);
+	if (take_catalog(c, all)) {
 		c->catalog_stored = true;
 		log_info("catalog", "from=state types=%zu", c->ntypes);
 	}
-	json_decref(o);
+	json_decref(all);
+	json_decref(answer);
 }
 
 static void on_catalog(struct core *c, struct call *call, int status, const char *body, size_t len)
@@ -76,7 +104,7 @@
 	c->next_catalog = c->now + CLOUD_BACKOFF_S;
 	if (status != 200) {
 		if (first)
-			store_get(c, CATALOG_KEY, on_stored_catalog, NULL);
+			store_range(c, CATALOG_KEY, "", on_stored_catalog, NULL);
 		return;
 	}
 	o = wire_parse(body, len);
--- a/src/core/round.h
+++ b/src/core/round.h
@@ -38,6 +38,7 @@
 
 struct round {
 	struct core *c;
+	uint64_t attempt; /* of the starts of this round, gangs aside; 0: none yet */
 	struct spot_room *rooms;
 	size_t nrooms;
 	struct pool *pools;
--- a/src/core/state.h
+++ b/src/core/state.h
@@ -10,6 +10,7 @@
 #include "conf/conf.h"
 #include "constants.h"
 #include "core/core.h"
+#include "core/limits.h"
 #include "core/report_cache.h"
 #include "wire/wire.h"
 
@@ -53,7 +54,8 @@
 	double sent_at;
 	double stop_at; /* when the newest stop was sent; 0: none */
 	double grace_s;
-	double running_since; /* 0: not running */
+	double running_since;  /* 0: not running */
+	uint32_t record_bytes; /* in its chunk's record, at most */
 	bool committed, flying;
 	bool loaded; /* made by an earlier leader */
 	bool seen;   /* listed by its worker under this leader */
@@ -139,9 +141,17 @@
 struct chunk {
 	uint64_t version; /* 0: no record */
 	uint32_t nbound;
-	uint32_t bytes; /* of its bindings in the record, at most */
-	bool queued, flying;
-	bool ending; /* the transaction under way drops it with its job */
+	uint32_t bytes;	      /* of its bindings in the record, at most */
+	struct write *queued; /* its write that waits; NULL: none */
+	bool flying;	      /* the transaction under way writes it */
+	bool ending;	      /* the transaction under way drops it with its job */
+	bool in_old;	      /* a record of the format before says what it holds */
+};
+
+/* A record of the format before, which counts where no newer one stands for its tasks. */
+struct old_chunk {
+	uint64_t version; /* 0: no record */
+	uint32_t pending; /* chunks whose newer records are still to be written */
 };
 
 struct job {
@@ -168,7 +178,10 @@
 	char hold_zone[NAME_MAX_LEN];
 	double next_plan;     /* no look for room to be made before */
 	double waiting_since; /* steady */
+	uint32_t chunk_tasks; /* tasks whose bindings share a record */
 	struct chunk *chunks;
+	struct old_chunk *old_chunks; /* NULL: none */
+	uint32_t old_count;
 	uint32_t uncommitted; /* bindings not on record yet */
 	struct binding *bindings;
 	UT_hash_handle hh;
@@ -187,9 +200,11 @@
 	enum write_kind kind;
 	struct job *job;
 	uint32_t chunk;
-	double due;	  /* a chunk: ends alone can wait for the next placement */
-	char id[ID_MAX];  /* WR_DROP: the job whose chunk is left over */
-	uint64_t version; /* WR_DROP: of the key */
+	double due;	     /* a chunk: ends alone can wait for the next placement */
+	double held_until;   /* its value is too large for now */
+	char key[KEY_MAX];   /* WR_DROP: of a record that is left over */
+	uint64_t version;    /* WR_DROP: of the key */
+	struct write **list; /* the queue that it waits in; NULL: none */
 	struct write *prev, *next;
 };
 
@@ -197,8 +212,10 @@
 	struct write *items;
 	char *body;
 	int nops;
-	bool fence;
-	bool waiting; /* to be sent again, unchanged */
+	size_t largest; /* bytes of its largest value */
+	bool fence;	/* writes the leader's key: its revision is the new token */
+	bool raises;	/* a fence that raises the records' format too */
+	bool waiting;	/* to be sent again, unchanged */
 	int reads_out;
 };
 
@@ -214,7 +231,8 @@
 	char *body;  /* of a submission, as it came */
 	int verdict; /* 400 or 422 to give if the job is not known; 0: valid */
 	const char *why;
-	double since;
+	double since; /* steady */
+	double wall;  /* when a submission came */
 	bool settled; /* the commit's outcome is unknown: read before answering */
 	struct user_req *prev, *next;
 };
@@ -257,8 +275,10 @@
 struct election {
 	enum lead_role role;
 	char leader[CONF_NAME_MAX];
-	uint64_t revision; /* of the leader key; 0: absent */
-	uint64_t watched;  /* revision from which to watch */
+	uint64_t revision;	/* of the leader key; 0: absent */
+	uint64_t watched;	/* revision from which to watch */
+	int format;		/* of the records, as the leader's keys say */
+	uint64_t gate_revision; /* of LEADER_KEY since the format is above 1 */
 	bool known;
 	bool reading, watching, claiming;
 	uint64_t first_token; /* the term's first: who has seen it has heard this leader */
@@ -270,6 +290,16 @@
 	double stand_back; /* no claim before */
 };
 
+/* What is known of the formats that the controllers read. */
+struct format_watch {
+	bool registered;      /* ours is on record */
+	bool registering;     /* the write is under way */
+	double register_at;   /* steady; not before */
+	bool looking;	      /* the leader reads all entries */
+	double look_at;	      /* steady; not before */
+	bool all_read_newest; /* so the last look showed */
+};
+
 struct refusal {
 	char key[3 * NAME_MAX_LEN];
 	double until, wait;
@@ -309,6 +339,8 @@
 	uint64_t next_call;
 
 	struct election el;
+	struct format_watch format;
+	struct limits_learned limits;
 	bool state_down; /* the last answer was a refusal or none */
 
 	struct machine_type *types;
@@ -321,6 +353,7 @@
 	struct user_req *submits; /* waiting for a transaction */
 	int nsubmits;
 	struct user_req *submit_flying;
+	size_t submit_largest; /* bytes of the largest record in that transaction */
 	int nreads;
 	struct known *known;
 	size_t nfinals;
@@ -348,6 +381,7 @@
 	struct report_cache reports;
 	struct team *teams;
 	struct write *writes, *finals_due, *drops; /* in order of urgency */
+	struct write *migrations;		   /* chunks that only an older format holds */
 	struct flight flight;
 	bool flying;
 	double commit_again;
@@ -363,7 +397,8 @@
 	struct machine *kicked; /* commands wait for them, longest waiting first */
 	bool *peer_live;	/* by its last answer */
 	double next_pair;
-	uint64_t switches; /* made since this process began */
+	uint64_t pair_quantum; /* counts the values that we wrote */
+	uint64_t switches;     /* made since this process began */
 	double next_round, round_again, next_machines, next_jobs;
 	double lead_since;
 
@@ -414,14 +449,25 @@
 void election_reread(struct core *c);
 bool election_stale(const struct core *c, const struct call *call);
 json_t *election_value(const struct core *c);
+/* The key whose holder leads in the given format of the records. */
+const char *election_key(int format);
+/* What LEADER_KEY holds for ever once the format is raised: no controller has this name. */
+json_t *election_gate_value(int format);
+/* Ours is the first term in the new format. */
+void election_raised(struct core *c, int format, uint64_t revision);
 #define LEADER_KEY "leader"
 
+/* format.c */
+void format_tick(struct core *core);
+/* True if the leader is to raise the format: all controllers read the new one. */
+bool format_wanted(const struct core *core);
+void format_clear(struct core *core);
+
 /* Keys: all that users may ask about lies under one prefix, so that one read of changes tells it.
  */
 #define JOBS_ALL "u/"
 #define JOBS_OPEN "u/j/"
 #define JOBS_OVER "u/f/"
-#define JOBS_BOUND "b/"
 
 /* load.c */
 void load_start(struct core *c);
@@ -446,6 +492,9 @@
 void job_done_unbound(struct core *c, const char *id, uint32_t task);
 bool job_bit(const uint8_t *bits, uint32_t task);
 uint32_t job_chunks(const struct job *j);
+uint32_t job_chunk_of(const struct job *j, uint32_t task);
+/* Makes room for so many tasks of a job whose description is not known. */
+void job_grow(struct job *j, uint32_t ntasks);
 uint32_t job_waiting(const struct job *j);
 uint32_t job_next_waiting(struct job *j);
 void job_settle(struct core *c, struct job *j);
@@ -496,13 +545,33 @@
 
 /* commit.c */
 void commit_chunk(struct core *c, struct job *j, uint32_t task, double delay_s);
-void commit_drop(struct core *c, const char *id, uint32_t chunk, uint64_t version);
+/* The chunk is written when there is room: so far a record of an older format holds it. */
+void commit_migrate(struct core *c, struct job *j, uint32_t chunk);
+void commit_drop(struct core *c, const char *key, uint64_t version);
+/* No chunk waits to be written any more: the caller knows which are to be queued anew. */
+void commit_forget_chunks(struct core *c);
 void commit_final(struct core *c, struct job *j);
 void commit_tick(struct core *c);
 void commit_clear(struct core *c);
 /* True once nothing about the task's chunk or its job's end waits to be written. */
 bool commit_settled(const struct job *j, uint32_t task);
-void key_chunk(char *key, const char *id, uint32_t chunk);
+
+/* task_records.c: the records of what is done and bound of a job's tasks */
+#define JOBS_BOUND "b/"	 /* of CHUNK_TASKS tasks */
+#define JOBS_PIECES "t/" /* of PIECE_TASKS tasks, from FORMAT_PIECES on */
+void task_record_key(char key[KEY_MAX], const struct job *job, uint32_t chunk);
+/* The caller owns the value. */
+json_t *task_record_value(const struct job *job, uint32_t chunk);
+/* Bytes that the binding takes in its record at most. */
+uint32_t task_record_bytes(const struct binding *binding);
+/* Takes a record into the job's books, which are made if nothing else is known of the job. */
+void task_record_load(struct core *core, const struct kv_item *item);
+/* The chunk's newer record is written, or needless: the older one may go. */
+void task_record_superseded(struct core *core, struct job *job, uint32_t chunk);
+/* All that is known is from now on written in the newest format. */
+void task_records_raise(struct core *core);
+/* The job's records in the newest format are to stand for those of the one before. */
+void task_records_migrate(struct core *core, struct job *job);
 
 /* place.c */
 void round_wanted(struct core *c);
--- /dev/null
+++ b/src/core/task_records.c
@@ -0,0 +1,311 @@
+/*
+ * The records of what is done of a job's tasks and what is bound where. In the first format a
+ * record holds CHUNK_TASKS tasks, since FORMAT_PIECES PIECE_TASKS. A newer record stands for its
+ * tasks whatever an older one says, so the change from one to the other needs no transaction of its
+ * own.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/state.h"
+
+#define PIECES_PER_CHUNK (CHUNK_TASKS / PIECE_TASKS)
+
+static void record_key(char key[KEY_MAX], const char *prefix, const char *id, uint32_t chunk)
+{
+	snprintf(key, KEY_MAX, "%s%s/%u", prefix, id, chunk);
+}
+
+void task_record_key(char key[KEY_MAX], const struct job *job, uint32_t chunk)
+{
+	record_key(key, job->chunk_tasks == PIECE_TASKS ? JOBS_PIECES : JOBS_BOUND, job->spec.id,
+		   chunk);
+}
+
+/* --- values --- */
+
+static char *done_text(const struct job *job, uint32_t chunk)
+{
+	uint32_t first = chunk * job->chunk_tasks, count = job->spec.ntasks - first;
+
+	return bits_encode(job->done + first / 8,
+			   count < job->chunk_tasks ? count : job->chunk_tasks);
+}
+
+/* The list of one start and zone: [attempt, zone, task, machine, task, machine, ...] */
+static json_t *group_of(json_t *groups, const struct binding *binding)
+{
+	json_t *group;
+	size_t i;
+
+	json_array_foreach (groups, i, group) {
+		if ((uint64_t)json_integer_value(json_array_get(group, 0)) == binding->attempt &&
+		    !strcmp(json_string_value(json_array_get(group, 1)), binding->machine->zone))
+			return group;
+	}
+	group = json_pack("[I,s]", (json_int_t)binding->attempt, binding->machine->zone);
+	json_array_append_new(groups, group);
+	return group;
+}
+
+json_t *task_record_value(const struct job *job, uint32_t chunk)
+{
+	char *done = done_text(job, chunk);
+	json_t *groups = json_array(), *value;
+	const struct binding *binding;
+
+	DL_FOREACH2 (job->bindings, binding, jnext) {
+		json_t *group;
+
+		if (job_chunk_of(job, binding->task) != chunk)
+			continue;
+		group = group_of(groups, binding);
+		json_array_append_new(group, json_integer((json_int_t)binding->task));
+		json_array_append_new(group, json_string(binding->machine->id));
+	}
+	value = json_pack("{s:s,s:o}", "done", done, "bound", groups);
+	free(done);
+	return value;
+}
+
+uint32_t task_record_bytes(const struct binding *binding)
+{
+	/* [attempt,"zone",task,"machine"], if it shares its start and zone with no other. */
+	int bytes =
+	    snprintf(NULL, 0, "[%llu,\"%s\",%u,\"%s\"],", (unsigned long long)binding->attempt,
+		     binding->machine->zone, binding->task, binding->machine->id);
+
+	return (uint32_t)bytes;
+}
+
+/* --- loading --- */
+
+/* A job whose final record is written, with tasks that may still be somewhere. */
+static struct job *orphan_add(struct core *core, const char *id)
+{
+	struct job_spec spec = {.ntasks = 1, .deadline_s = -1};
+	struct job *job;
+
+	snprintf(spec.id, sizeof(spec.id), "%s", id);
+	job = job_add(core, &spec);
+	job->ghost = true;
+	return job;
+}
+
+/* One record as it is read. */
+struct record {
+	char id[ID_MAX];
+	uint32_t index;
+	uint32_t tasks; /* that it holds */
+	json_t *groups;
+	const char *done;
+	uint64_t version;
+	const char *key;
+};
+
+/* 0, or -1 if the key is none of a record of tasks. */
+static int record_parse(const struct kv_item *item, struct record *out)
+{
+	bool piece = !strncmp(item->key, JOBS_PIECES, strlen(JOBS_PIECES));
+	const char *rest = item->key + strlen(piece ? JOBS_PIECES : JOBS_BOUND);
+	const char *slash = strchr(rest, '/');
+
+	if (!slash || (size_t)(slash - rest) >= sizeof(out->id))
+		return -1;
+	memcpy(out->id, rest, (size_t)(slash - rest));
+	out->id[slash - rest] = 0;
+	out->index = (uint32_t)strtoul(slash + 1, NULL, 10);
+	out->tasks = piece ? PIECE_TASKS : CHUNK_TASKS;
+	out->groups = json_object_get(item->value, "bound");
+	out->done = json_string_value(json_object_get(item->value, "done"));
+	out->version = item->version;
+	out->key = item->key;
+	return out->index < JOB_TASKS_MAX / out->tasks + 1 ? 0 : -1;
+}
+
+/* An older record counts only for tasks without a newer one. */
+static bool record_counts_for(const struct job *job, const struct record *record, uint32_t task)
+{
+	return task < job->spec.ntasks && task / record->tasks == record->index &&
+	       (record->tasks == job->chunk_tasks || !job->chunks[job_chunk_of(job, task)].version);
+}
+
+static void load_binding(struct core *core, struct job *job, const struct record *record,
+			 json_t *group, size_t at)
+{
+	const char *zone = json_string_value(json_array_get(group, 1));
+	const char *id = json_string_value(json_array_get(group, at + 1));
+	uint64_t attempt = (uint64_t)json_integer_value(json_array_get(group, 0));
+	uint32_t task = (uint32_t)json_integer_value(json_array_get(group, at));
+	struct machine *machine;
+	struct binding *binding;
+
+	if (!id || strlen(id) >= ID_MAX || !record_counts_for(job, record, task))
+		return;
+	machine = machine_get(core, id);
+	if (zone && !*machine->zone)
+		snprintf(machine->zone, sizeof(machine->zone), "%s", zone);
+	binding = binding_add(core, machine, job, task, attempt);
+	binding->loaded = binding->committed = true;
+	job->uncommitted--;
+	if (attempt > job->attempt)
+		job->attempt = attempt;
+}
+
+static void load_done(struct job *job, const struct record *record)
+{
+	uint8_t bits[CHUNK_TASKS / 8] = {0};
+	uint32_t first = record->index * record->tasks;
+
+	if (!record->done || bits_decode(record->done, bits, record->tasks))
+		return;
+	for (uint32_t i = 0; i < record->tasks; i++)
+		if (job_bit(bits, i) && record_counts_for(job, record, first + i))
+			job->done[(first + i) / 8] |= (uint8_t)(1u << ((first + i) % 8));
+}
+
+static struct job *record_job(struct core *core, const struct record *record)
+{
+	struct job *job = job_find(core, record->id);
+
+	if (!job && !json_array_size(record->groups)) {
+		commit_drop(core, record->key, record->version); /* its job is done */
+		return NULL;
+	}
+	if (!job)
+		job = orphan_add(core, record->id);
+	if (job->ghost)
+		job_grow(job, (record->index + 1) * record->tasks);
+	return record->index * record->tasks < job->spec.ntasks ? job : NULL;
+}
+
+static void old_chunk_set(struct job *job, uint32_t index, uint64_t version)
+{
+	uint32_t count = (job->spec.ntasks + CHUNK_TASKS - 1) / CHUNK_TASKS;
+
+	/* An orphan may have grown since: each of its records was read before its growth. */
+	job->old_chunks = realloc(job->old_chunks, count * sizeof(*job->old_chunks));
+	if (!job->old_chunks)
+		abort();
+	for (uint32_t i = job->old_count; i < count; i++)
+		job->old_chunks[i] = (struct old_chunk){0};
+	job->old_count = count;
+	job->old_chunks[index].version = version;
+}
+
+void task_record_load(struct core *core, const struct kv_item *item)
+{
+	struct record record;
+	struct job *job;
+	json_t *group;
+	size_t i;
+
+	if (record_parse(item, &record))
+		return;
+	job = record_job(core, &record);
+	if (!job)
+		return;
+	if (record.tasks == job->chunk_tasks)
+		job->chunks[record.index].version = record.version;
+	else
+		old_chunk_set(job, record.index, record.version);
+	load_done(job, &record);
+	json_array_foreach (record.groups, i, group)
+		for (size_t at = 2; at + 1 < json_array_size(group); at += 2)
+			load_binding(core, job, &record, group, at);
+}
+
+/* --- from one format to the next --- */
+
+static void old_chunk_drop(struct core *core, struct job *job, uint32_t index)
+{
+	char key[KEY_MAX];
+
+	record_key(key, JOBS_BOUND, job->spec.id, index);
+	commit_drop(core, key, job->old_chunks[index].version);
+	job->old_chunks[index].version = 0;
+}
+
+void task_record_superseded(struct core *core, struct job *job, uint32_t chunk)
+{
+	uint32_t index = chunk / PIECES_PER_CHUNK;
+
+	if (!job->chunks[chunk].in_old)
+		return;
+	job->chunks[chunk].in_old = false;
+	if (--job->old_chunks[index].pending == 0)
+		old_chunk_drop(core, job, index);
+}
+
+/* Of an ended job only what is still bound counts: the ends are proved, not recorded anew. */
+static bool chunk_holds_any(const struct job *job, uint32_t chunk)
+{
+	uint32_t first = chunk * job->chunk_tasks;
+
+	if (job->chunks[chunk].nbound || job->ghost)
+		return job->chunks[chunk].nbound > 0;
+	if (job->chunks[chunk].queued)
+		return true;
+	for (uint32_t task = first; task < first + job->chunk_tasks && task < job->spec.ntasks;
+	     task++)
+		if (job_bit(job->done, task))
+			return true;
+	return false;
+}
+
+void task_records_migrate(struct core *core, struct job *job)
+{
+	if (!job->old_chunks)
+		return;
+	for (uint32_t chunk = 0; chunk < job_chunks(job); chunk++) {
+		struct old_chunk *old = &job->old_chunks[chunk / PIECES_PER_CHUNK];
+
+		if (!old->version || job->chunks[chunk].version || !chunk_holds_any(job, chunk))
+			continue;
+		job->chunks[chunk].in_old = true;
+		old->pending++;
+		if (!job->ghost)
+			commit_migrate(core, job, chunk);
+	}
+	for (uint32_t index = 0; index < job->old_count; index++)
+		if (job->old_chunks[index].version && !job->old_chunks[index].pending)
+			old_chunk_drop(core, job, index);
+}
+
+/* The chunks of the new size take over what those of the old size held. */
+static void layout_raise(struct core *core, struct job *job)
+{
+	struct chunk *before = job->chunks;
+	uint32_t count = job_chunks(job);
+	struct binding *binding;
+
+	for (uint32_t index = 0; index < count; index++)
+		if (before[index].version)
+			old_chunk_set(job, index, before[index].version);
+	job->chunk_tasks = PIECE_TASKS;
+	job->chunks = calloc(job_chunks(job), sizeof(*job->chunks));
+	if (!job->chunks)
+		abort();
+	DL_FOREACH2 (job->bindings, binding, jnext) {
+		struct chunk *chunk = &job->chunks[job_chunk_of(job, binding->task)];
+
+		chunk->nbound++;
+		chunk->bytes += binding->record_bytes;
+	}
+	/* What waited to be written waits in the new form. */
+	for (uint32_t chunk = 0; chunk < job_chunks(job); chunk++)
+		if (before[chunk / PIECES_PER_CHUNK].queued)
+			commit_chunk(core, job, chunk * PIECE_TASKS, 0);
+	free(before);
+	task_records_migrate(core, job);
+}
+
+void task_records_raise(struct core *core)
+{
+	struct job *job, *next;
+
+	commit_forget_chunks(core);
+	HASH_ITER (hh, core->jobs, job, next)
+		layout_raise(core, job);
+}
--- a/src/core/users.c
+++ b/src/core/users.c
@@ -16,6 +16,18 @@
 	return o;
 }
 
+#define RECORD_TOO_LARGE "description too long to be kept"
+
+/* What a job's record takes at most: a cancellation is noted in it. */
+static size_t record_bytes(const struct user_req *u)
+{
+	json_t *record = users_record(u->spec, u->wall, true);
+	size_t bytes = wire_value_bytes(record);
+
+	json_decref(record);
+	return bytes;
+}
+
 static void user_free(void *arg)
 {
 	struct user_req *u = arg;
@@ -161,6 +173,10 @@
 	struct txn t;
 
 	json_object_set_new(v, "cancelled", json_true());
+	/* A record from before a lower limit: where the job might have run is of no use any more.
+	 */
+	if (wire_value_bytes(v) > limits_value_bytes(c))
+		json_object_del(json_object_get(v, "spec"), W_TYPES);
 	txn_begin(&t);
 	txn_guard(&t, it->key, it->version);
 	txn_put(&t, it->key, v, 0);
@@ -462,10 +478,38 @@
 	json_decref(o);
 }
 
+/*
+ * A 400 is definite: too many jobs for one transaction, which are sent in smaller ones, or a record
+ * that is too large.
+ */
+static void submit_too_large(struct core *c, struct user_req *list)
+{
+	struct user_req *u, *tmp;
+	int count;
+
+	DL_COUNT(list, u, count);
+	limits_refused(c, count, c->submit_largest);
+	DL_FOREACH_SAFE (list, u, tmp) {
+		DL_DELETE(list, u);
+		if (count <= LIMITS_TXN_OPS_MIN && record_bytes(u) > limits_value_bytes(c)) {
+			user_fail(c, u, 422, 0, RECORD_TOO_LARGE);
+		} else if (count == 1) {
+			user_fail(c, u, 503, RETRY_AFTER_S, "state");
+		} else {
+			DL_PREPEND(c->submits, u);
+			c->nsubmits++;
+		}
+	}
+}
+
 static void submit_refused(struct core *c, struct user_req *list, int status)
 {
 	struct user_req *u, *tmp;
 
+	if (status == 400) {
+		submit_too_large(c, list);
+		return;
+	}
 	DL_FOREACH_SAFE (list, u, tmp) {
 		DL_DELETE(list, u);
 		if (status == 0) {
@@ -493,7 +537,7 @@
 		submit_refused(c, list, status);
 }
 
-static void add_submit(struct core *c, struct txn *t, struct user_req *u)
+static void add_submit(struct txn *t, const struct user_req *u)
 {
 	char key[ID_MAX + 8];
 
@@ -501,7 +545,7 @@
 	txn_guard(t, key, 0);
 	snprintf(key, sizeof(key), JOBS_OPEN "%s", u->id);
 	txn_guard(t, key, 0);
-	txn_put(t, key, users_record(u->spec, c->wall, false), 0);
+	txn_put(t, key, users_record(u->spec, u->wall, false), 0);
 }
 
 static bool in_flight(const struct core *c, const struct user_req *u)
@@ -517,27 +561,28 @@
 static void submit_tick(struct core *c)
 {
 	struct user_req *u, *tmp;
-	size_t bytes = 0;
+	struct txn_mark mark;
 	struct txn t;
-	int n = 0;
 
 	if (c->submit_flying || !c->submits)
 		return;
 	txn_begin(&t);
 	DL_FOREACH_SAFE (c->submits, u, tmp) {
-		size_t more = 1200 + (size_t)u->spec->ntypes * NAME_MAX_LEN;
-
-		if (n && (n == c->conf->txn_ops || bytes + more > SUBMIT_BATCH_BYTES))
+		if (t.nops >= limits_txn_ops(c))
 			break;
 		if (in_flight(c, u))
 			continue; /* the same job twice in one batch would fight itself */
+		mark = txn_mark(&t);
+		add_submit(&t, u);
+		if (mark.nops && txn_bytes(&t) > SUBMIT_BATCH_BYTES) {
+			txn_rollback(&t, &mark);
+			break;
+		}
 		DL_DELETE(c->submits, u);
 		c->nsubmits--;
 		DL_APPEND(c->submit_flying, u);
-		add_submit(c, &t, u);
-		bytes += more;
-		n++;
 	}
+	c->submit_largest = t.largest;
 	store_commit(c, txn_finish(&t), on_submit, NULL);
 }
 
@@ -609,6 +654,9 @@
 	} else if (!zones_suffice(c, u->spec)) {
 		u->verdict = 422;
 		u->why = "scattered, and no two zones allowed";
+	} else if (record_bytes(u) > limits_job_record_bytes(c)) {
+		u->verdict = 422;
+		u->why = RECORD_TOO_LARGE;
 	}
 }
 
@@ -621,6 +669,7 @@
 	u->conn = conn;
 	u->kind = kind;
 	u->since = c->now;
+	u->wall = c->wall;
 	memcpy(u->id, id, strnlen(id, sizeof(u->id) - 1));
 	return u;
 }
--- a/src/wire/json.c
+++ b/src/wire/json.c
@@ -549,49 +549,6 @@
 	return 0;
 }
 
-void txn_begin(struct txn *t)
-{
-	t->guards = json_array();
-	t->ops = json_array();
-}
-
-void txn_guard(struct txn *t, const char *key, uint64_t version)
-{
-	json_t *o = json_object();
-
-	json_object_set_new(o, W_KEY, json_string(key));
-	json_object_set_new(o, W_VERSION, json_integer((json_int_t)version));
-	json_array_append_new(t->guards, o);
-}
-
-void txn_put(struct txn *t, const char *key, json_t *value, uint64_t lease)
-{
-	json_t *o = json_object();
-
-	json_object_set_new(o, W_PUT, json_string(key));
-	json_object_set_new(o, W_VALUE, value);
-	if (lease)
-		json_object_set_new(o, W_LEASE, json_integer((json_int_t)lease));
-	json_array_append_new(t->ops, o);
-}
-
-void txn_drop(struct txn *t, const char *key)
-{
-	json_t *o = json_object();
-
-	json_object_set_new(o, W_DROP, json_string(key));
-	json_array_append_new(t->ops, o);
-}
-
-char *txn_finish(struct txn *t)
-{
-	json_t *o = json_object();
-
-	json_object_set_new(o, W_IF, t->guards);
-	json_object_set_new(o, W_THEN, t->ops);
-	return dump(o);
-}
-
 static uint64_t count_of(json_t *o, const char *key)
 {
 	uint64_t v = 0;
--- a/src/wire/wire.h
+++ b/src/wire/wire.h
@@ -7,6 +7,8 @@
 
 #include <jansson.h>
 
+#include "util/buf.h"
+
 #define ID_MAX 48
 #define NAME_MAX_LEN 64
 #define WIRE_TYPES_MAX 16
@@ -120,17 +122,32 @@
 /* Names of the machines rented, the caller frees the array and the names. */
 int wire_rented(const char *body, size_t len, char ***ids, size_t *n);
 
-/* Transactions are built piece by piece. */
+/* A transaction in the making: its text, and what the state service limits. */
 struct txn {
-	json_t *guards;
-	json_t *ops;
+	struct buf guards, ops;
+	int nops;
+	size_t largest; /* bytes of its largest value, as sent */
+};
+
+/* A moment of a transaction in the making, to which it can be taken back. */
+struct txn_mark {
+	size_t guards_len, ops_len, largest;
+	int nops;
 };
 
 void txn_begin(struct txn *t);
 void txn_guard(struct txn *t, const char *key, uint64_t version);
-void txn_put(struct txn *t, const char *key, json_t *value, uint64_t lease);
+/* Takes over the value; returns the bytes of its text. */
+size_t txn_put(struct txn *t, const char *key, json_t *value, uint64_t lease);
 void txn_drop(struct txn *t, const char *key);
+size_t txn_bytes(const struct txn *t);
+struct txn_mark txn_mark(const struct txn *t);
+void txn_rollback(struct txn *t, const struct txn_mark *mark);
+/* The text, which the caller frees; the transaction is empty afterwards. */
 char *txn_finish(struct txn *t);
+void txn_abandon(struct txn *t);
+/* The bytes of a value's text as it would be sent. */
+size_t wire_value_bytes(const json_t *value);
 
 struct kv_item {
 	const char *key;
--- a/tests/bench_report.c
+++ b/tests/bench_report.c
@@ -248,10 +248,10 @@
 	b.conf.report_s = REPORT_S;
 	b.conf.lease_s = 22;
 	b.conf.cancel_s = 1e6;
-	b.conf.state_rps = 150;
-	b.conf.state_write_rps = 1e6;
-	b.conf.value_kb = 8;
-	b.conf.txn_ops = 16;
+	b.conf.limits.rps = 150;
+	b.conf.limits.write_rps = 1e6;
+	b.conf.limits.value_kb = 8;
+	b.conf.limits.txn_ops = 16;
 	b.conf.max_connections = 1800;
 	b.conf.idle_patience_s = 1e6;
 	b.core = core_new(&b.conf, 1, at(&b));
--- a/tests/runner.c
+++ b/tests/runner.c
@@ -79,6 +79,7 @@
 	struct standin si;
 	struct conf conf;
 	struct node nodes[SI_NODES];
+	bool held[SI_NODES]; /* keeps the records readable by the version before */
 	int nnodes;
 	double now;
 	double state_up_at;
@@ -544,6 +545,7 @@
 
 	n->up = true;
 	n->life++;
+	n->conf.hold_format = w->held[i];
 	n->core = core_new(&n->conf, w->seed * 1000 + (uint64_t)i * 10 + n->life, node_time(w, i));
 	core_tick(n->core, node_time(w, i));
 	drain(w, i);
@@ -1117,8 +1119,14 @@
 		return w->answers[atoi(arg)];
 	if (!strcmp(what, "state"))
 		return !strcmp(arg, "puts")	  ? (double)w->si.state.puts
+		       : !strcmp(arg, "toolarge") ? (double)w->si.state.too_large
 		       : !strcmp(arg, "requests") ? (double)w->si.state.requests
 						  : (double)w->si.state.refused;
+	if (!strcmp(what, "keys")) { /* that start so */
+		for (struct si_key *key = w->si.state.keys; key; key = key->hh.next)
+			n += !strncmp(key->key, arg, strlen(arg));
+		return n;
+	}
 	if (!strcmp(what, "asked"))
 		return !strcmp(arg, "show") ? (double)w->si.shows : (double)w->si.directs;
 	if (!strcmp(what, "latestarts"))
@@ -1198,15 +1206,54 @@
 	}
 }
 
+/* What the state service allows from now on; what is 0 stays as it is. */
+static void state_limits(struct world *w, const struct conf_limits *limits)
+{
+	struct si_state *state = &w->si.state;
+
+	if (limits->txn_ops)
+		state->txn_ops = limits->txn_ops;
+	if (limits->value_kb > 0)
+		state->value_bytes = (size_t)(limits->value_kb * 1024);
+	if (limits->rps > 0)
+		state->rps = limits->rps;
+	if (limits->write_rps > 0)
+		state->write_rps = limits->write_rps;
+}
+
+/* limits value_kb= txn_ops= write_rps= rps= */
+static void do_limits(struct world *w, const struct words *x)
+{
+	struct conf_limits limits = {0};
+
+	limits.value_kb = num(x, "value_kb", 0);
+	limits.txn_ops = (int)num(x, "txn_ops", 0);
+	limits.write_rps = num(x, "write_rps", 0);
+	limits.rps = num(x, "rps", 0);
+	state_limits(w, &limits);
+}
+
+/* hold NODE|all [end=1]: counts from the controller's next start */
+static void do_hold(struct world *w, const struct words *x)
+{
+	for (int i = 0; i < w->nnodes; i++)
+		if (!strcmp(x->w[1], "all") || node_of(w, x->w[1]) == i)
+			w->held[i] = num(x, "end", 0) == 0;
+}
+
 static void do_facts(struct world *w, const struct words *x)
 {
 	w->conf.report_s = num(x, "report", w->conf.report_s);
 	w->conf.lease_s = num(x, "lease", w->conf.lease_s);
 	w->conf.cancel_s = num(x, "cancel", w->conf.cancel_s);
-	w->conf.txn_ops = (int)num(x, "txn_ops", w->conf.txn_ops);
-	w->conf.state_rps = num(x, "rps", w->conf.state_rps);
-	w->conf.state_write_rps = num(x, "write_rps", w->conf.state_write_rps);
-	w->si.state.txn_ops = w->conf.txn_ops;
+	w->conf.limits.txn_ops = (int)num(x, "txn_ops", w->conf.limits.txn_ops);
+	w->conf.limits.rps = num(x, "rps", w->conf.limits.rps);
+	w->conf.limits.write_rps = num(x, "write_rps", w->conf.limits.write_rps);
+	w->conf.limits.value_kb = num(x, "value_kb", w->conf.limits.value_kb);
+	w->conf.next_limits.txn_ops = (int)num(x, "next_txn_ops", w->conf.next_limits.txn_ops);
+	w->conf.next_limits.write_rps = num(x, "next_write_rps", w->conf.next_limits.write_rps);
+	w->conf.next_limits.value_kb = num(x, "next_value_kb", w->conf.next_limits.value_kb);
+	state_limits(w, &w->conf.limits);
 	w->si.state.keep = (size_t)num(x, "keep", 0);
 }
 
@@ -1252,6 +1299,10 @@
 		w->seed = strtoull(x.w[1], NULL, 10);
 	else if (!strcmp(x.w[0], "facts"))
 		do_facts(w, &x);
+	else if (!strcmp(x.w[0], "limits"))
+		do_limits(w, &x);
+	else if (!strcmp(x.w[0], "hold"))
+		do_hold(w, &x);
 	else if (!strcmp(x.w[0], "objective"))
 		do_objective(w, &x);
 	else if (!strcmp(x.w[0], "type"))
@@ -1289,10 +1340,10 @@
 	w->conf.gang_wait_s = 20;
 	w->conf.gang_peer_s = 4;
 	w->conf.cancel_s = 30;
-	w->conf.state_rps = 200;
-	w->conf.state_write_rps = 60;
-	w->conf.value_kb = 8;
-	w->conf.txn_ops = 16;
+	w->conf.limits.rps = 200;
+	w->conf.limits.write_rps = 60;
+	w->conf.limits.value_kb = 8;
+	w->conf.limits.txn_ops = 16;
 	w->conf.cloud_rps = 5;
 	w->conf.list_lag_s = 3;
 	w->conf.cores = 0.1;
--- a/tests/smoke.c
+++ b/tests/smoke.c
@@ -320,10 +320,10 @@
 	snprintf(type.zones[0], NAME_MAX_LEN, "a");
 	s.conf.teams = &team;
 	s.conf.nteams = 1;
-	s.conf.txn_ops = 16;
-	s.conf.state_rps = 500;
-	s.conf.state_write_rps = 200;
-	s.conf.value_kb = 8;
+	s.conf.limits.txn_ops = 16;
+	s.conf.limits.rps = 500;
+	s.conf.limits.write_rps = 200;
+	s.conf.limits.value_kb = 8;
 	s.conf.report_s = 1;
 	s.conf.lease_s = 10;
 	s.conf.gang_wait_s = 20;
--- a/tests/standin.c
+++ b/tests/standin.c
@@ -44,8 +44,10 @@
 	s->conf = conf;
 	s->state.revision = 1;
 	s->state.next_lease = 1;
-	s->state.txn_ops = conf->txn_ops;
-	s->state.value_bytes = (size_t)(conf->value_kb * 1024);
+	s->state.txn_ops = conf->limits.txn_ops;
+	s->state.value_bytes = (size_t)(conf->limits.value_kb * 1024);
+	s->state.rps = conf->limits.rps;
+	s->state.write_rps = conf->limits.write_rps;
 	s->cloud.types = zalloc(WIRE_TYPES_MAX * sizeof(struct machine_type));
 	s->machines_cap = 4096; /* pointers to machines stay valid */
 	s->machines = zalloc((size_t)s->machines_cap * sizeof(*s->machines));
@@ -125,7 +127,6 @@
 {
 	struct si_key *k = key_find(st, key);
 
-	st->leader_puts += !strcmp(key, LEADER_KEY);
 	if (!k) {
 		k = zalloc(sizeof(*k));
 		snprintf(k->key, sizeof(k->key), "%s", key);
@@ -245,6 +246,8 @@
 	return l;
 }
 
+#define TXN_GUARDS 4 /* conditions for each change that a transaction may have */
+
 /* 0: may be applied; else the status, with the answer in `out`. */
 static int txn_check(struct standin *s, json_t *o, json_t **out)
 {
@@ -274,7 +277,10 @@
 		if (lease && !lease_find(st, (uint64_t)json_integer_value(lease)))
 			*out = json_pack("{s:s}", "error", "no such lease");
 	}
+	if (json_array_size(json_object_get(o, W_IF)) > TXN_GUARDS * (size_t)st->txn_ops)
+		*out = json_pack("{s:s}", "error", "too many conditions");
 	if (*out) {
+		st->too_large++;
 		json_decref(failed);
 		return 400;
 	}
@@ -286,6 +292,25 @@
 	return 409;
 }
 
+/* Whether the leader's key is written, but for the one time at which the records' format is raised.
+ */
+static bool takes_over(json_t *changes)
+{
+	bool leads = false, raises = false;
+	json_t *e;
+	size_t i;
+
+	json_array_foreach (changes, i, e) {
+		const char *key = json_string_value(json_object_get(e, W_PUT));
+
+		if (!key || strncmp(key, LEADER_KEY, strlen(LEADER_KEY)))
+			continue;
+		leads = true;
+		raises |= json_object_get(json_object_get(e, W_VALUE), "format") != NULL;
+	}
+	return leads && !raises;
+}
+
 static void state_txn(struct standin *s, uint64_t handle, const char *body)
 {
 	json_t *o = wire_parse(body, strlen(body)), *e, *bad;
@@ -300,6 +325,7 @@
 	}
 	if (json_array_size(json_object_get(o, W_THEN)))
 		st->revision++;
+	st->leader_puts += takes_over(json_object_get(o, W_THEN));
 	json_array_foreach (json_object_get(o, W_THEN), i, e) {
 		const char *put = json_string_value(json_object_get(e, W_PUT));
 		const char *drop = json_string_value(json_object_get(e, W_DROP));
@@ -396,8 +422,8 @@
 	double dt = s->now - st->filled;
 
 	st->filled = s->now;
-	st->request_room = fmin(s->conf->state_rps, st->request_room + dt * s->conf->state_rps);
-	st->put_room = fmin(s->conf->state_write_rps, st->put_room + dt * s->conf->state_write_rps);
+	st->request_room = fmin(st->rps, st->request_room + dt * st->rps);
+	st->put_room = fmin(st->write_rps, st->put_room + dt * st->write_rps);
 }
 
 /* Within the limits of requests, and of puts and deletes, a second? Counts what is taken. */
--- a/tests/standin.h
+++ b/tests/standin.h
@@ -106,6 +106,8 @@
 	bool stalls[SI_NODES]; /* its watches get no answer, all else does */
 	int txn_ops;
 	size_t value_bytes;
+	double rps, write_rps;
+	uint64_t too_large;		       /* transactions refused for their size */
 	double request_room, put_room, filled; /* what the limits still allow, one second's burst */
 	uint64_t requests, puts, refused, leader_puts;
 };
