--- a/src/constants.h
+++ b/src/constants.h
@@ -90,16 +90,17 @@
 #define COMMIT_BYTES 48000  /* bytes of one transaction: 64 KiB is the limit, keys included */
 #define COMMIT_RETRY_S 0.25 /* seconds before a refused transaction is sent again */
 #define WRITE_SHARE_LEADER                                                                         \
-	0.85		      /* share of write_rps the leader uses: the rest takes submissions    \
-			       */
-#define CHUNK_TASKS 128	      /* tasks whose bindings and done bits share one key, below 8 KiB */
-#define CHUNK_ENTRY_BYTES 100 /* bytes of one more binding in it: long names of machine and zone   \
-			       */
-#define CHUNK_SPARE_BYTES 64  /* bytes of a value beside its bindings: the done bits, braces */
-#define FINAL_WAIT_S 1.0      /* seconds for the other tasks of a done job to be heard of */
-#define JOBS_EVERY_S 0.25     /* seconds between looks for them */
-#define END_DELAY_S 0.8	      /* seconds an end waits for company: proof and forget wait with it */
-#define ATTEMPT_SHIFT 20      /* bits: a million starts under one token */
+	0.85		/* share of write_rps the leader uses: the rest takes submissions          \
+			 */
+#define CHUNK_TASKS 128 /* tasks whose bindings and done bits share one key, below 8 KiB */
+#define CHUNK_ENTRY_BYTES                                                                          \
+	100		     /* bytes of one more binding in it: long names of machine and zone    \
+			      */
+#define CHUNK_SPARE_BYTES 64 /* bytes of a value beside its bindings: the done bits, braces */
+#define FINAL_WAIT_S 1.0     /* seconds for the other tasks of a done job to be heard of */
+#define JOBS_EVERY_S 0.25    /* seconds between looks for them */
+#define END_DELAY_S 0.8	     /* seconds an end waits for company: proof and forget wait with it */
+#define ATTEMPT_SHIFT 20     /* bits: a million starts under one token */
 
 /* --- limits of the state service --- */
 #define LIMITS_TXN_OPS_MIN 2   /* changes: a job's end and the format's version need two */
@@ -114,7 +115,7 @@
 #define FORMAT_NEWEST FORMAT_PIECES
 #define FORMAT_REGISTER_S 1.0 /* seconds before our own version is written again */
 #define FORMAT_LOOK_S 1.0     /* seconds between the leader's looks at all versions */
-#define PIECE_TASKS 32 /* tasks whose bindings fit a value of 2 KiB, each of another start */
+#define PIECE_TASKS 32	      /* tasks whose bindings fit a value of 2 KiB, each of another start */
 
 /* --- load --- */
 #define RANGE_LIMIT 500	  /* items per page: pages stay below 512 KiB */
@@ -149,7 +150,9 @@
 #define LISTED_EVERY_S 3.0   /* seconds between machine lists: they lag by more */
 #define MACHINES_EVERY_S 0.5 /* seconds between looks at all machines */
 #define CUT_SHARE 0.7	     /* share of machines silent at once: then it is us who are cut */
-#define CUT_MACHINES 3	     /* machines heard of before that share means anything */
+#define SILENT_SHARE                                                                               \
+	0.2	       /* share of machines overdue at once up to which each may be deleted early */
+#define CUT_MACHINES 3 /* machines heard of before that share means anything */
 
 /* --- scheduling --- */
 #define ROUND_MIN_S 0.004	 /* seconds between rounds of decisions when nothing presses */
--- a/src/core/jobs.c
+++ b/src/core/jobs.c
@@ -260,6 +260,7 @@
 	DL_APPEND2(m->bindings, b, mprev, mnext);
 	DL_APPEND2(j->bindings, b, jprev, jnext);
 	m->nbindings++;
+	m->nreplicas += j->spec.kind == JOB_SERVICE;
 	m->cpus -= j->spec.cpus;
 	m->gpus -= j->spec.gpus;
 	m->mem_gb -= j->spec.mem_gb;
@@ -354,6 +355,7 @@
 	DL_DELETE2(m->bindings, b, mprev, mnext);
 	DL_DELETE2(j->bindings, b, jprev, jnext);
 	m->nbindings--;
+	m->nreplicas -= j->spec.kind == JOB_SERVICE;
 	m->cpus += j->spec.cpus;
 	m->gpus += j->spec.gpus;
 	m->mem_gb += j->spec.mem_gb;
--- a/src/core/machines.c
+++ b/src/core/machines.c
@@ -181,6 +181,32 @@
 		workers_ask(c, m);
 }
 
+/* No report for longer than one may be late; not heard of in this term though all others were. */
+static bool overdue(const struct core *c, const struct machine *m)
+{
+	if (m->last_word < 0)
+		return m->nbindings &&
+		       c->now - c->lead_since > MACHINE_SHOW_REPORTS * c->conf->report_s;
+	return c->now - m->last_word > MACHINE_NEWS_REPORTS * c->conf->report_s;
+}
+
+/*
+ * A replica's users miss it at once, and waiting for the end of a lease costs them all of it. Its
+ * machine is asked when a report is overdue, and deleted when it does not answer either: the
+ * cloud's answer proves its end. Its other tasks lose what they would keep if it came back within
+ * its lease. That is allowed only while few machines are silent: else it may be this controller
+ * that is cut off.
+ */
+static bool replicas_unreachable(struct core *c, struct machine *m)
+{
+	if (!m->nreplicas || !overdue(c, m))
+		return false;
+	if (m->unanswered_at > fmax(m->last_word, c->lead_since))
+		return c->few_silent;
+	workers_ask(c, m);
+	return false;
+}
+
 static void machine_look(struct core *c, struct machine *m)
 {
 	bool vanished = m->missing >= MACHINE_GONE_LISTS && !machine_fresh(c, m);
@@ -190,7 +216,7 @@
 		m->hold_job = NULL;
 	if (m->deleting)
 		return;
-	if (m->failed || vanished || silent_too_long(c, m)) {
+	if (m->failed || vanished || silent_too_long(c, m) || replicas_unreachable(c, m)) {
 		log_info("machine_lost", "machine=%s failed=%d missing=%d last_word=%.1f bound=%d",
 			 m->id, m->failed, m->missing,
 			 m->last_word < 0 ? -1.0 : c->now - m->last_word, m->nbindings);
@@ -208,17 +234,22 @@
 }
 
 /* If nearly all fall silent at once, it is this controller that is cut off. */
-static bool looks_cut(const struct core *c)
+static bool looks_cut(struct core *c)
 {
-	int heard = 0, silent = 0;
+	int heard = 0, silent = 0, late = 0, known = 0;
 	struct machine *m, *tmp;
 
 	HASH_ITER (hh, c->machines, m, tmp) {
-		if (m->last_word < 0 || m->deleting)
+		if (m->deleting)
+			continue;
+		known += m->last_word >= 0 || m->nbindings;
+		late += overdue(c, m);
+		if (m->last_word < 0)
 			continue;
 		heard++;
 		silent += !machine_fresh(c, m);
 	}
+	c->few_silent = known >= CUT_MACHINES && late <= fmax(1, SILENT_SHARE * known);
 	return heard >= CUT_MACHINES && silent > CUT_SHARE * heard;
 }
 
--- a/src/core/state.h
+++ b/src/core/state.h
@@ -84,6 +84,7 @@
 	double cpus, gpus, mem_gb; /* free */
 	struct binding *bindings;
 	int nbindings;
+	int nreplicas; /* of them, tasks of services */
 
 	/* the worker */
 	uint64_t session, seq, token;
@@ -99,6 +100,7 @@
 	double reported;   /* any report, be it a copy or a new machine's first; < 0: none */
 	double up_at;	   /* its first message this term */
 	double asked_at;
+	double unanswered_at; /* when the newest question left that got no answer; 0: none */
 	double notice_s;
 	double notice_heard;			/* when notice_s was said */
 	struct report_cache_entry *last_report; /* in core->reports */
@@ -400,6 +402,8 @@
 	uint64_t pair_quantum; /* counts the values that we wrote */
 	uint64_t switches;     /* made since this process began */
 	double next_round, round_again, next_machines, next_jobs;
+	bool few_silent; /* at the last look: those that are silent may be deleted before their
+			    leases end */
 	double lead_since;
 
 	/* rentals */
--- a/src/core/workers.c
+++ b/src/core/workers.c
@@ -526,8 +526,15 @@
 
 static void on_show(struct core *c, struct call *call, int status, const char *body, size_t len)
 {
+	struct machine *m;
+
 	c->directs--;
-	if (!election_stale(c, call) && status == 200)
+	if (election_stale(c, call))
+		return;
+	m = machine_find(c, call->key);
+	if (m && status <= 0)
+		m->unanswered_at = call->sent;
+	if (status == 200)
 		take_answer(c, call, body, len);
 }
 
