--- a/src/constants.h
+++ b/src/constants.h
@@ -150,8 +150,9 @@
 #define LISTED_EVERY_S 3.0   /* seconds between machine lists: they lag by more */
 #define MACHINES_EVERY_S 0.5 /* seconds between looks at all machines */
 #define CUT_SHARE 0.7	     /* share of machines silent at once: then it is us who are cut */
-#define SILENT_SHARE                                                                               \
-	0.2	       /* share of machines overdue at once up to which each may be deleted early */
+#define SILENT_SHARE 0.34 /* of the machines overdue at once up to which one may be deleted early  \
+			   */
+0.2		       /* share of machines overdue at once up to which each may be deleted early */
 #define CUT_MACHINES 3 /* machines heard of before that share means anything */
 
 /* --- scheduling --- */
@@ -191,9 +192,13 @@
 #define LATE_FIRST_S 140.0 /* seconds of waiting after which a gang goes before all others */
 #define ORDER_FAR_S 1e6	   /* seconds: before or behind all that have a time of their own */
 #define ORDINARY_S 4.0	   /* seconds: an ordinary machine's worth to those who need one */
-#define ROOM_SLACK 1e-6	   /* CPUs, GPUs, GB: sums of decimal amounts */
-#define ROUND_WANTED_MAX 8 /* shapes of waiting gangs whose room is left to them in a round */
-#define ROUND_NO_MAX 32	   /* shapes without room remembered in a round */
+#define REPLICA_MACHINE_S                                                                          \
+	8.0		   /* seconds: a second replica on one machine, against a fetch elsewhere */
+#define REPLICA_ZONE_S 0.5 /* seconds: another replica in the same zone, if machines are alike */
+#define REPLICA_SPOT_S 20.0 /* seconds: a machine that may be taken back with a replica */
+#define ROOM_SLACK 1e-6	    /* CPUs, GPUs, GB: sums of decimal amounts */
+#define ROUND_WANTED_MAX 8  /* shapes of waiting gangs whose room is left to them in a round */
+#define ROUND_NO_MAX 32	    /* shapes without room remembered in a round */
 
 /* --- rentals --- */
 #define RENT_EVERY_S 0.5  /* seconds between looks at what is missing */
--- a/src/core/place.c
+++ b/src/core/place.c
@@ -299,6 +299,27 @@
 
 /* --- arrays and services --- */
 
+/*
+ * Replicas of one service apart, so that one machine or zone takes one of them, and off machines
+ * that may be taken back or that tasks failed on: seconds that it is worth to wait for an image
+ * elsewhere.
+ */
+static double replica_cost(const struct job *j, const struct machine *m)
+{
+	const struct binding *b;
+	double cost = 0;
+
+	if (j->spec.kind != JOB_SERVICE)
+		return 0;
+	DL_FOREACH2 (j->bindings, b, jnext) {
+		if (b->machine == m)
+			cost += REPLICA_MACHINE_S;
+		else if (!strcmp(b->machine->zone, m->zone))
+			cost += REPLICA_ZONE_S;
+	}
+	return cost + (m->spot ? REPLICA_SPOT_S : 0) + m->nfailed_jobs * REPLICA_MACHINE_S;
+}
+
 /* `spare`: only room that no waiting gang could use. */
 static struct machine *best_machine(struct round *r, struct job *j, bool spare)
 {
@@ -315,7 +336,7 @@
 		if (!p->allowed || cost >= best_cost || !slots_for(x, j) ||
 		    (held && strcmp(held, p->zone)) || (spare && takes_wanted(r, x, &j->spec)))
 			continue;
-		cost += place_cost(x->m, j);
+		cost += place_cost(x->m, j) + replica_cost(j, x->m);
 		if (cost < best_cost && zone_rest(j, p->zone)) {
 			best_cost = cost;
 			best = x->m;
@@ -355,11 +376,9 @@
 	return true;
 }
 
-/* A service starts as a whole; what it loses later is replaced task by task. */
+/* Replicas are independent, and each that runs serves: they start one by one. */
 static bool place_service(struct round *r, struct job *j)
 {
-	if (!j->bindings)
-		return place_gang(r, j);
 	while (place_task(r, j, false))
 		;
 	return job_waiting(j) == 0;
