--- a/src/constants.h
+++ b/src/constants.h
@@ -150,9 +150,9 @@
 #define LISTED_EVERY_S 3.0   /* seconds between machine lists: they lag by more */
 #define MACHINES_EVERY_S 0.5 /* seconds between looks at all machines */
 #define CUT_SHARE 0.7	     /* share of machines silent at once: then it is us who are cut */
-#define SILENT_SHARE 0.34 /* of the machines overdue at once up to which one may be deleted early  \
-			   */
-0.2		       /* share of machines overdue at once up to which each may be deleted early */
+#define SILENT_SHARE                                                                               \
+	0.34	       /* of the machines overdue at once up to which one may be deleted early     \
+			*/
 #define CUT_MACHINES 3 /* machines heard of before that share means anything */
 
 /* --- scheduling --- */
