--- a/src/constants.h
+++ b/src/constants.h
@@ -193,12 +193,14 @@
 #define ORDER_FAR_S 1e6	   /* seconds: before or behind all that have a time of their own */
 #define ORDINARY_S 4.0	   /* seconds: an ordinary machine's worth to those who need one */
 #define REPLICA_MACHINE_S                                                                          \
-	8.0		   /* seconds: a second replica on one machine, against a fetch elsewhere */
-#define REPLICA_ZONE_S 0.5 /* seconds: another replica in the same zone, if machines are alike */
-#define REPLICA_SPOT_S 20.0 /* seconds: a machine that may be taken back with a replica */
-#define ROOM_SLACK 1e-6	    /* CPUs, GPUs, GB: sums of decimal amounts */
-#define ROUND_WANTED_MAX 8  /* shapes of waiting gangs whose room is left to them in a round */
-#define ROUND_NO_MAX 32	    /* shapes without room remembered in a round */
+	8.0 /* seconds: a second replica on one machine, against a fetch elsewhere */
+#define REPLICA_STEADY_S 20.0 /* seconds a replica runs before its end is no failure to start */
+#define REPLICA_SPARE 2	      /* replicas of each service class whose room is kept free */
+#define REPLICA_ZONE_S 0.5    /* seconds: another replica in the same zone, if machines are alike */
+#define REPLICA_SPOT_S 20.0   /* seconds: a machine that may be taken back with a replica */
+#define ROOM_SLACK 1e-6	      /* CPUs, GPUs, GB: sums of decimal amounts */
+#define ROUND_WANTED_MAX 8    /* shapes of waiting gangs whose room is left to them in a round */
+#define ROUND_NO_MAX 32	      /* shapes without room remembered in a round */
 
 /* --- rentals --- */
 #define RENT_EVERY_S 0.5  /* seconds between looks at what is missing */
--- a/src/core/jobs.c
+++ b/src/core/jobs.c
@@ -318,11 +318,30 @@
 	}
 }
 
+/*
+ * A replica is to run until its job is cancelled. One that ends by itself soon after its start,
+ * whatever it says, is tried again after a time that grows, so that it does not take all starts;
+ * one that has run begins again at once.
+ */
+static void replica_ended(struct core *c, struct binding *b, enum task_why why)
+{
+	struct job *j = b->job;
+	bool ran = b->running_since > 0 && c->now - b->running_since >= REPLICA_STEADY_S;
+
+	if (ran)
+		j->errors = 0;
+	job_failed_on(c, j, b->machine);
+	if (why == WHY_ERROR)
+		machine_blamed(b->machine, j);
+}
+
 static void binding_account(struct core *c, struct binding *b, enum task_why why)
 {
 	struct job *j = b->job;
 
-	if (why == WHY_DONE) {
+	if (j->spec.kind == JOB_SERVICE && (why == WHY_DONE || why == WHY_ERROR)) {
+		replica_ended(c, b, why);
+	} else if (why == WHY_DONE) {
 		b->machine->nfailed_jobs = 0;
 		j->errors = 0;
 		if (j->spec.kind == JOB_GANG)
--- a/src/core/machines.c
+++ b/src/core/machines.c
@@ -102,6 +102,11 @@
 	return m->reported >= 0 && c->now - m->reported < MACHINE_FRESH_REPORTS * c->conf->report_s;
 }
 
+bool machine_leaves(const struct machine *m)
+{
+	return (m->notice_s >= 0 || m->draining) && !m->deleting;
+}
+
 bool machine_usable(const struct core *c, const struct machine *m)
 {
 	return m->type && m->session && m->hears && !m->draining && !m->deleting && !m->failed &&
@@ -237,11 +242,13 @@
 static bool looks_cut(struct core *c)
 {
 	int heard = 0, silent = 0, late = 0, known = 0;
+	bool leave = false;
 	struct machine *m, *tmp;
 
 	HASH_ITER (hh, c->machines, m, tmp) {
 		if (m->deleting)
 			continue;
+		leave |= m->nreplicas && machine_leaves(m);
 		known += m->last_word >= 0 || m->nbindings;
 		late += overdue(c, m);
 		if (m->last_word < 0)
@@ -249,6 +256,7 @@
 		heard++;
 		silent += !machine_fresh(c, m);
 	}
+	c->replicas_leave = leave;
 	c->few_silent = known >= CUT_MACHINES && late <= fmax(1, SILENT_SHARE * known);
 	return heard >= CUT_MACHINES && silent > CUT_SHARE * heard;
 }
--- a/src/core/place.c
+++ b/src/core/place.c
@@ -120,7 +120,7 @@
 }
 
 /* How many more tasks of a spread job the zone may hold. */
-static uint32_t zone_rest(const struct job *j, const char *zone)
+uint32_t job_zone_rest(const struct job *j, const char *zone)
 {
 	uint32_t most = (j->spec.ntasks + 1) / 2, n;
 
@@ -157,7 +157,10 @@
 {
 	struct core *c = r->c;
 
-	plan_release(c, j); /* it has what room was held for */
+	if (j->spec.kind != JOB_SERVICE)
+		plan_release(c, j); /* it has what room was held for */
+	else if (m->hold_job == j && !--m->hold_tasks)
+		m->hold_job = NULL;
 	binding_add(c, m, j, task, attempt);
 	round_take(r, m, &j->spec);
 	log_info("place", "job=%s task=%u attempt=%llu machine=%s waited=%.2f", j->spec.id, task,
@@ -225,7 +228,7 @@
 		if (zone && strcmp(m->zone, zone))
 			continue;
 		for (uint32_t k = 0; k < r->cands[i].slots && t < j->spec.ntasks; k++)
-			if (zone_rest(j, m->zone))
+			if (job_zone_rest(j, m->zone))
 				place(r, j, m, t++, attempt);
 	}
 	j->attempt = attempt;
@@ -244,7 +247,7 @@
 		for (size_t q = 0; q < p; q++)
 			again |= !strcmp(r->pools[q].zone, zone);
 		if (!again)
-			n += (uint32_t)fmin(zone_slots(r, j, zone), zone_rest(j, zone));
+			n += (uint32_t)fmin(zone_slots(r, j, zone), job_zone_rest(j, zone));
 	}
 	return n >= j->spec.ntasks;
 }
@@ -337,7 +340,7 @@
 		    (held && strcmp(held, p->zone)) || (spare && takes_wanted(r, x, &j->spec)))
 			continue;
 		cost += place_cost(x->m, j) + replica_cost(j, x->m);
-		if (cost < best_cost && zone_rest(j, p->zone)) {
+		if (cost < best_cost && job_zone_rest(j, p->zone)) {
 			best_cost = cost;
 			best = x->m;
 		}
@@ -381,6 +384,8 @@
 {
 	while (place_task(r, j, false))
 		;
+	if (!job_waiting(j))
+		plan_release(r->c, j);
 	return job_waiting(j) == 0;
 }
 
@@ -456,7 +461,7 @@
 		return NULL;
 	round_allow(r, &j->spec);
 	zone = job_held_zone(j);
-	if (!r->pools[x->pool].allowed || !slots_for(x, j) || !zone_rest(j, m->zone) ||
+	if (!r->pools[x->pool].allowed || !slots_for(x, j) || !job_zone_rest(j, m->zone) ||
 	    (zone && strcmp(zone, m->zone)) || takes_wanted(r, x, &j->spec))
 		return NULL;
 	return j;
@@ -589,6 +594,42 @@
 	}
 }
 
+/*
+ * A replica on a machine that is about to go is stopped once there is room for it elsewhere, which
+ * is held: it can't run in both places.
+ */
+static void move_replica(struct round *r, struct binding *b)
+{
+	struct job *j = b->job;
+	struct machine *target;
+
+	if (b->stopping || !b->seen || j->spec.kind != JOB_SERVICE || j->ghost || j->cancelled)
+		return;
+	target = best_machine(r, j, false);
+	if (!target || (target->hold_job && target->hold_job != j))
+		return;
+	target->hold_tasks = target->hold_job == j ? target->hold_tasks + 1 : 1;
+	target->hold_job = j;
+	j->hold_until = r->c->now + PREEMPT_HOLD_S;
+	round_take(r, target, &j->spec);
+	log_info("replica_moves", "job=%s task=%u machine=%s to=%s", j->spec.id, b->task,
+		 b->machine->id, target->id);
+	binding_stop(r->c, b, 0);
+}
+
+static void move_replicas(struct round *r)
+{
+	struct machine *m, *tmp;
+	struct binding *b;
+
+	HASH_ITER (hh, r->c->machines, m, tmp) {
+		if (!machine_leaves(m) || !m->nreplicas)
+			continue;
+		DL_FOREACH2 (m->bindings, b, mnext)
+			move_replica(r, b);
+	}
+}
+
 static size_t waiting_jobs(struct core *c, struct job ***out)
 {
 	struct job *j, *tmp;
@@ -642,6 +683,8 @@
 		serve_priority(&r, jobs + first, last - first);
 		first = last;
 	}
+	if (c->replicas_leave)
+		move_replicas(&r);
 	round_end(&r);
 }
 
@@ -659,7 +702,7 @@
 	if (c->now - c->el.renewed > LEADER_TTL_MS / 1000.0 * 2)
 		return; /* without the state service nothing can be committed */
 	n = waiting_jobs(c, &jobs);
-	if (n)
+	if (n || c->replicas_leave)
 		round_run(c, jobs, n);
 	free(jobs);
 }
--- a/src/core/plan.c
+++ b/src/core/plan.c
@@ -29,9 +29,12 @@
 	}
 }
 
-/* Tasks that room is made for: all of a gang or service, the first of an array that holds none. */
+/* Tasks that room is made for: all of a gang, the first of an array that holds none, and of a
+ * service those that do not run. */
 static uint32_t plan_tasks(const struct job *j)
 {
+	if (j->spec.kind == JOB_SERVICE)
+		return job_waiting(j);
 	return j->spec.kind == JOB_ARRAY ? 1 : j->spec.ntasks;
 }
 
@@ -76,6 +79,8 @@
 {
 	if (b->job->spec.kind != JOB_ARRAY || b->job->ghost || needs_its_time(c, b))
 		return false;
+	if (j->spec.kind == JOB_SERVICE && b->job->spec.priority > j->spec.priority)
+		return true;
 	/* A gang that has missed all aims for its wait gathers room instead. */
 	if (wait_aim(c, j) <= 0 && b->job->nbound <= array_need(c, b->job) && !borrowed(c, b, j))
 		return false;
@@ -115,6 +120,7 @@
 	const struct core *c;
 	const struct job *j;
 	bool own;
+	uint32_t tasks;
 };
 
 static bool frees(const struct demand *d, const struct binding *b)
@@ -161,6 +167,14 @@
 	return cx < cy ? -1 : cx > cy;
 }
 
+/* Where the job's other tasks leave room for one more by its rules. */
+static bool zone_open(const struct job *j, const char *zone)
+{
+	const char *held = job_held_zone(j);
+
+	return (!held || !strcmp(held, zone)) && job_zone_rest(j, zone) > 0;
+}
+
 static void offers(struct round *r, const struct demand *d)
 {
 	round_allow(r, &d->j->spec);
@@ -169,7 +183,8 @@
 		struct spot_room *x = &r->rooms[i];
 		struct candidate *k = &r->cands[r->ncands];
 
-		if (!r->pools[x->pool].allowed || (x->m->hold_job && x->m->hold_job != d->j))
+		if (!r->pools[x->pool].allowed || (x->m->hold_job && x->m->hold_job != d->j) ||
+		    !zone_open(d->j, x->m->zone))
 			continue;
 		k->room = x;
 		k->slots = machine_offer(d, x->m, &k->cost);
@@ -179,12 +194,12 @@
 }
 
 /* The cost of the gang's room in the zone, or anywhere; INFINITY if it can't be had. */
-static double zone_offer(const struct round *r, const struct job *j, const char *zone)
+static double zone_offer(const struct round *r, const struct demand *d, const char *zone)
 {
 	uint32_t n = 0;
 	double cost = 0;
 
-	for (size_t i = 0; i < r->ncands && n < plan_tasks(j); i++) {
+	for (size_t i = 0; i < r->ncands && n < d->tasks; i++) {
 		const struct candidate *k = &r->cands[i];
 
 		if (zone && strcmp(zone, k->room->m->zone))
@@ -192,7 +207,7 @@
 		n += k->slots;
 		cost += k->cost;
 	}
-	return n >= plan_tasks(j) ? cost : INFINITY;
+	return n >= d->tasks ? cost : INFINITY;
 }
 
 static bool choose(struct round *r, const struct demand *d, struct choice *out)
@@ -202,12 +217,12 @@
 	offers(r, d);
 	out->zone = NULL;
 	out->cost = INFINITY;
-	if (!j->spec.one_zone || plan_tasks(j) == 1) {
-		out->cost = zone_offer(r, j, NULL);
+	if (!j->spec.one_zone || d->tasks == 1) {
+		out->cost = zone_offer(r, d, NULL);
 		return isfinite(out->cost);
 	}
 	for (size_t p = 0; p < r->npools; p++) {
-		double cost = r->pools[p].allowed ? zone_offer(r, j, r->pools[p].zone) : INFINITY;
+		double cost = r->pools[p].allowed ? zone_offer(r, d, r->pools[p].zone) : INFINITY;
 
 		if (cost < out->cost) {
 			out->cost = cost;
@@ -249,7 +264,7 @@
 static void carry_out(struct round *r, const struct demand *d, struct job *j,
 		      const struct choice *ch)
 {
-	uint32_t left = plan_tasks(j);
+	uint32_t left = d->tasks;
 
 	for (size_t i = 0; i < r->ncands && left; i++) {
 		struct candidate *k = &r->cands[i];
@@ -273,8 +288,8 @@
 		return false;
 	carry_out(r, d, j, &ch);
 	j->hold_until = r->c->now + PREEMPT_HOLD_S;
-	log_info("hold", "job=%s tasks=%u zone=%s cost=%.0f waited=%.1f", j->spec.id,
-		 j->spec.ntasks, ch.zone ? ch.zone : "", ch.cost, r->c->wall - j->submitted);
+	log_info("hold", "job=%s tasks=%u zone=%s cost=%.0f waited=%.1f", j->spec.id, d->tasks,
+		 ch.zone ? ch.zone : "", ch.cost, r->c->wall - j->submitted);
 	return true;
 }
 
@@ -398,12 +413,19 @@
 	return fmin(LATE_FIRST_S, fmax(GATHER_AFTER_S, wait_aim(c, j) - GATHER_LEAD_S));
 }
 
-/* Called in a round for each gang, and each array that holds nothing, that found no room. */
+/* Tasks of a gang keep their places, and a scattered one's zones are not weighed against each
+ * other. */
+static bool plan_possible(const struct job *j)
+{
+	return j->spec.kind == JOB_SERVICE || (!j->bindings && !j->spec.spread);
+}
+
+/* Called in a round for each gang, service, and array that holds nothing, that found no room. */
 bool plan_room(struct round *r, struct job *j)
 {
 	struct core *c = r->c;
 	double waited = c->now - j->waiting_since;
-	struct demand d = {c, j, false};
+	struct demand d = {c, j, false, plan_tasks(j)};
 
 	if (j->gathering) {
 		gather(r, j);
@@ -411,13 +433,17 @@
 	}
 	if (j->hold_until && c->now > j->hold_until)
 		plan_release(c, j);
-	if (j->bindings || j->hold_until || j->spec.spread || waited < patience(c, j) ||
-	    c->now < j->next_plan)
+	if (!plan_possible(j) || j->hold_until || waited < patience(c, j) || c->now < j->next_plan)
 		return false;
 	j->next_plan = c->now + PLAN_AGAIN_S;
-	d.own = !team_has_room(c, &j->spec, plan_tasks(j));
+	d.own = !team_has_room(c, &j->spec, d.tasks);
 	if (stop_lower(r, j, &d))
 		return true;
+	if (j->spec.kind == JOB_SERVICE) {
+		/* Room for one replica is worth more than none for all. */
+		d.tasks = 1;
+		return stop_lower(r, j, &d);
+	}
 	waited = c->wall - j->submitted;
 	if (d.own || j->spec.kind == JOB_ARRAY || waited < gather_after(c, j) ||
 	    !may_gather(c, j, waited))
--- a/src/core/rent.c
+++ b/src/core/rent.c
@@ -7,6 +7,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "core/replicas.h"
 #include "core/round.h"
 #include "core/state.h"
 #include "util/log.h"
@@ -302,9 +303,12 @@
 
 static void return_look(struct core *c)
 {
+	struct replica_classes classes;
 	struct machine *m, *tmp;
 	double idle;
 
+	replica_classes_find(c, &classes);
+	replica_classes_count(c, &classes);
 	HASH_ITER (hh, c->machines, m, tmp) {
 		if (m->deleting)
 			continue;
@@ -316,8 +320,9 @@
 			continue;
 		idle = c->now - m->idle_since;
 		/* Its reports cost the leader as much as those of a machine that works. */
-		if (m->draining || idle > patience(c, m) ||
-		    (idle > IDLE_USELESS_S && !type_of_use(c, m))) {
+		if (m->draining ||
+		    ((idle > patience(c, m) || (idle > IDLE_USELESS_S && !type_of_use(c, m))) &&
+		     replica_classes_spare(&classes, m))) {
 			log_info("machine_return", "machine=%s type=%s idle=%.1f", m->id,
 				 m->type_name, c->now - m->idle_since);
 			m->deleting = true;
@@ -760,6 +765,22 @@
 	return n;
 }
 
+/* A replica that is lost finds room at once: a boot costs its users more than the room. */
+static void plan_replicas(struct core *c, struct plan *p)
+{
+	struct replica_classes classes;
+
+	replica_classes_find(c, &classes);
+	for (size_t i = 0; i < classes.count; i++) {
+		const struct job_spec *spec = classes.list[i].spec;
+
+		for (uint32_t k = 0; k < REPLICA_SPARE; k++)
+			if (!plan_fit(p, spec, true, NULL) &&
+			    !plan_rent(c, p, spec, REPLICA_SPARE - k, false, NULL))
+				break;
+	}
+}
+
 /* Where money is no aim, room is kept for what comes next. */
 static void plan_headroom(struct core *c, struct plan *p)
 {
@@ -873,6 +894,7 @@
 
 	plan_known(c, &p);
 	plan_waiting(c, &p);
+	plan_replicas(c, &p);
 	plan_headroom(c, &p);
 	while (p.nwanted && cloud_take(c))
 		rent_first(c, &p);
--- a/src/core/round.h
+++ b/src/core/round.h
@@ -64,6 +64,8 @@
 /* Seconds that placing here costs, as far as can be told. */
 double place_cost(const struct machine *m, const struct job *j);
 const char *job_held_zone(const struct job *j);
+/* How many more tasks of the job the zone may hold. */
+uint32_t job_zone_rest(const struct job *j, const char *zone);
 
 /* Seconds within which a job's tasks should start, by the first aim that it can still meet; 0:
  * none. */
--- a/src/core/state.h
+++ b/src/core/state.h
@@ -402,8 +402,9 @@
 	uint64_t pair_quantum; /* counts the values that we wrote */
 	uint64_t switches;     /* made since this process began */
 	double next_round, round_again, next_machines, next_jobs;
-	bool few_silent; /* at the last look: those that are silent may be deleted before their
-			    leases end */
+	bool replicas_leave; /* at the last look: some are on machines that are about to go */
+	bool few_silent;     /* at the last look: those that are silent may be deleted before their
+				leases end */
 	double lead_since;
 
 	/* rentals */
@@ -526,6 +527,8 @@
 void machine_tick(struct core *c);
 void machine_show(struct core *c, struct machine *m);
 bool machine_fresh(const struct core *c, const struct machine *m);
+/* It has a notice, or is to be returned: nothing new goes there. */
+bool machine_leaves(const struct machine *m);
 bool machine_usable(const struct core *c, const struct machine *m);
 bool machine_allowed(const struct machine_type *t, const char *zone, bool spot,
 		     const struct job_spec *s);
--- a/src/core/workers.c
+++ b/src/core/workers.c
@@ -212,6 +212,8 @@
 	}
 	if (r->notice_s >= 0 && m->notice_s < 0) {
 		log_info("machine_notice", "machine=%s seconds=%.1f", m->id, r->notice_s);
+		c->replicas_leave |= m->nreplicas > 0;
+		round_wanted(c);
 	}
 	if (!beat && m->last_beat < 0 && r->token < c->el.token) {
 		m->call = true;
--- a/tests/loopback.h
+++ b/tests/loopback.h
@@ -14,8 +14,9 @@
 #define LOOPBACK_NODES 3
 #define LOOPBACK_MACHINES 3
 #define LOOPBACK_MACHINE_CPUS 32 /* of each machine */
-#define LIMIT_S 90.0 /* seconds a test may take: generous, so that a slow machine changes nothing  \
-		      */
+#define LIMIT_S                                                                                    \
+	90.0 /* seconds a test may take: generous, so that a slow machine changes nothing          \
+	      */
 #define LOOPBACK_NEXT_VALUE_KB 2.0
 #define LOOPBACK_NEXT_TXN_OPS 5
 
--- a/tests/runner.c
+++ b/tests/runner.c
@@ -742,6 +742,9 @@
 	j->run_s = s->estimate_s;
 	j->accepted_at = j->answered_at = j->began_at = j->room_since = -1;
 	j->bad = num(x, "bad", 0) > 0;
+	j->ends = !strcmp(opt(x, "ends", ""), "done")	 ? WHY_DONE
+		  : !strcmp(opt(x, "ends", ""), "error") ? WHY_ERROR
+							 : WHY_NONE;
 	j->done = calloc(1, s->ntasks / 8 + 1);
 	HASH_ADD_STR(w->si.jobs, spec.id, j);
 	return j;
@@ -1102,6 +1105,8 @@
 		return j ? (double)j->ndone : -1;
 	if (!strcmp(what, "starts"))
 		return j ? (double)j->starts : -1;
+	if (!strcmp(what, "served")) /* share of a service's replica time */
+		return j && j->replica_s > 0 ? j->served_s / j->replica_s : 0;
 	if (!strcmp(what, "wait")) /* seconds from its acceptance until it began */
 		return j && j->began_at >= 0 ? j->began_at - j->accepted_at : INFINITY;
 	if (!strcmp(what, "directs")) {
--- a/tests/standin.c
+++ b/tests/standin.c
@@ -950,6 +950,8 @@
 		return;
 	}
 	t->progress += dt;
+	if (t->progress >= j->run_s && j->spec.kind == JOB_SERVICE && j->ends != WHY_NONE)
+		exit_task(m, t, j->ends);
 	if (t->progress >= j->run_s && j->spec.kind != JOB_SERVICE) {
 		for (uint32_t k = 0; k < j->spec.ntasks; k++)
 			if (k == t->task || gang) /* a gang completes together */
@@ -958,6 +960,28 @@
 	}
 }
 
+#define SERVED_AFTER_S 5.0 /* seconds from a service's acceptance until its time counts */
+
+/* Replica time that is asked of services, and what of it is served. */
+static void count_served(struct standin *s, double dt)
+{
+	struct si_job *j, *tmp;
+
+	HASH_ITER (hh, s->jobs, j, tmp) {
+		bool counts = j->spec.kind == JOB_SERVICE && j->accepted && !j->cancel_asked &&
+			      s->now - j->accepted_at > SERVED_AFTER_S;
+
+		if (!counts)
+			continue;
+		j->replica_s += j->spec.ntasks * dt;
+		for (int i = 0; i < s->nmachines; i++)
+			for (struct si_task *t = s->machines[i].tasks; t; t = t->next)
+				if (t->state == TS_RUNNING && !s->machines[i].hanging &&
+				    !strcmp(t->job, j->spec.id))
+					j->served_s += dt;
+	}
+}
+
 static void worker_report(struct standin *s, struct si_machine *m)
 {
 	bool due = s->now >= m->next_report;
@@ -1436,6 +1460,7 @@
 	state_tick(s);
 	for (int i = 0; i < s->nmachines; i++)
 		worker_tick(s, &s->machines[i], dt);
+	count_served(s, dt);
 	check_cancelled(s);
 }
 
--- a/tests/standin.h
+++ b/tests/standin.h
@@ -52,6 +52,10 @@
 	struct job_spec spec;
 	double run_s;
 	bool bad; /* submitted with a mistake: fails everywhere */
+	enum task_why
+	    ends; /* a service: what its tasks say when run_s is over; WHY_NONE: they go on */
+	double replica_s,
+	    served_s; /* a service: replica time from 5 s after its acceptance; of it, run */
 	bool asked, accepted, cancel_asked, told_cancelled, told_done;
 	double cancelled_at, progress;
 	double accepted_at, answered_at, began_at; /* < 0: not yet */
