--- a/tests/runner.c
+++ b/tests/runner.c
@@ -374,6 +374,20 @@
 	core_request(w->nodes[m->to].core, node_time(w, m->to), &r);
 }
 
+#define HANG_STEP_S 0.25 /* seconds between looks whether a hanging machine goes on */
+
+/* What is sent to a hanging machine is read when it goes on: late, if it has work by then. */
+static void hang_request(struct world *w, const struct msg *m)
+{
+	struct msg *later = msg_new(w, MSG_REQUEST, m->from, m->to, w->now + HANG_STEP_S);
+
+	later->id = m->id;
+	later->life = m->life;
+	later->method = strdup(m->method);
+	later->path = strdup(m->path);
+	msg_body(later, m->body, m->len);
+}
+
 static void deliver_request(struct world *w, struct msg *m)
 {
 	struct handle *h;
@@ -384,6 +398,10 @@
 	}
 	if (m->to >= HOST_WORKERS && w->si.machines[m->to - HOST_WORKERS].power != SI_UP)
 		return; /* no power: silent */
+	if (m->to >= HOST_WORKERS && w->si.machines[m->to - HOST_WORKERS].hanging) {
+		hang_request(w, m);
+		return;
+	}
 	h = calloc(1, sizeof(*h));
 	if (!h)
 		abort();
