--- a/src/constants.h
+++ b/src/constants.h
@@ -195,7 +195,7 @@
 #define REPLICA_MACHINE_S                                                                          \
 	8.0 /* seconds: a second replica on one machine, against a fetch elsewhere */
 #define REPLICA_STEADY_S 20.0 /* seconds a replica runs before its end is no failure to start */
-#define REPLICA_SPARE 2	      /* replicas of each service class whose room is kept free */
+#define REPLICA_SPARE 1	      /* replicas of each class of services whose room is kept free */
 #define REPLICA_ZONE_S 0.5    /* seconds: another replica in the same zone, if machines are alike */
 #define REPLICA_SPOT_S 20.0   /* seconds: a machine that may be taken back with a replica */
 #define ROOM_SLACK 1e-6	      /* CPUs, GPUs, GB: sums of decimal amounts */
--- a/tests/arguments.sh
+++ b/tests/arguments.sh
@@ -54,6 +54,17 @@
 sed 's/^report_s.*/report_s = 0/' "$dir/good.toml" >"$dir/zero.toml"
 sed 's/^front.*/front = "nowhere"/' "$dir/good.toml" >"$dir/addr.toml"
 printf 'label = \n' >"$dir/syntax.toml"
+next() { # next FILE LINE: good settings with one field of the limits to come
+	printf '[facts.state.next]\n%s\n' "$2" | cat "$dir/good.toml" - >"$dir/$1"
+}
+next next_good.toml 'value_kb = 2.0'
+next next_type.toml 'txn_ops = "5"'
+next next_zero.toml 'write_rps = 0'
+next next_ops.toml 'txn_ops = 1'
+next next_value.toml 'value_kb = -2.0'
+sed 's/^\[facts.state\]/&\nnext = 3/' "$dir/good.toml" >"$dir/next_table.toml"
+printf 'records {\n  hold_format = true\n}\n' >"$dir/hold.hcl"
+printf 'records {\n  hold_format = 3\n}\n' >"$dir/hold_type.hcl"
 
 want 0 'settings are valid' --check --config "$dir/good.toml"
 want 0 'settings are valid' --check --config "$dir/good.toml" --operator-config "$dir/good.hcl"
@@ -64,6 +75,14 @@
 want 2 'missing.toml: field facts.workers.cancel_s: missing' --config "$dir/missing.toml"
 want 2 'zero.toml: field facts.workers.report_s: must be above zero' --config "$dir/zero.toml"
 want 2 'addr.toml: field front: must be HOST:PORT' --config "$dir/addr.toml"
+want 0 'settings are valid' --check --config "$dir/next_good.toml"
+want 2 'next_type.toml: field facts.state.next.txn_ops: must be a number' --check --config "$dir/next_type.toml"
+want 2 'next_zero.toml: field facts.state.next.write_rps: must be' --check --config "$dir/next_zero.toml"
+want 2 'next_ops.toml: field facts.state.next.txn_ops: must be' --check --config "$dir/next_ops.toml"
+want 2 'next_value.toml: field facts.state.next.value_kb: must be' --check --config "$dir/next_value.toml"
+want 2 'next_table.toml: field facts.state.next: must be a table' --check --config "$dir/next_table.toml"
+want 0 'settings are valid' --check --config "$dir/good.toml" --operator-config "$dir/hold.hcl"
+want 2 'hold_type.hcl' --check --config "$dir/good.toml" --operator-config "$dir/hold_type.hcl"
 want 2 'syntax.toml:1' --config "$dir/syntax.toml"
 want 2 'none.toml' --config "$dir/none.toml"
 want 2 'config FILE is needed' --check
