--- a/tests/upgrade.c
+++ b/tests/upgrade.c
@@ -28,15 +28,21 @@
 	return true;
 }
 
-static uint32_t running(struct loopback *s, int job)
+static const struct si_job *job_of(struct loopback *s, int job)
 {
 	char id[ID_MAX];
-	uint32_t n = 0;
 
 	snprintf(id, sizeof(id), "job-%d", job);
+	return si_job(&s->si, id);
+}
+
+static uint32_t running(struct loopback *s, int job)
+{
+	uint32_t n = 0;
+
 	for (int i = 0; i < s->si.nmachines; i++)
 		for (struct si_task *t = s->si.machines[i].tasks; t; t = t->next)
-			n += t->state == TS_RUNNING && !strcmp(t->job, id);
+			n += t->state == TS_RUNNING && !strcmp(t->job, job_of(s, job)->spec.id);
 	return n;
 }
 
@@ -102,11 +108,8 @@
 /* Submits until it is taken, at one controller after the other. */
 static void submit(struct loopback *s, int job)
 {
-	char id[ID_MAX];
-	const struct si_job *known;
+	const struct si_job *known = job_of(s, job);
 
-	snprintf(id, sizeof(id), "job-%d", job);
-	known = si_job(&s->si, id);
 	for (int i = 0; !known->accepted && i < 40; i++) {
 		loopback_submit(s, job, i % LOOPBACK_NODES);
 		loopback_run(s, 0.5);
@@ -115,11 +118,8 @@
 
 static void cancel(struct loopback *s, int job)
 {
-	char id[ID_MAX];
-	const struct si_job *known;
+	const struct si_job *known = job_of(s, job);
 
-	snprintf(id, sizeof(id), "job-%d", job);
-	known = si_job(&s->si, id);
 	for (int i = 0; !known->told_cancelled && i < 40; i++) {
 		loopback_cancel(s, job, i % LOOPBACK_NODES);
 		loopback_run(s, 0.5);
