--- a/src/constants.h
+++ b/src/constants.h
@@ -13,9 +13,8 @@
 #define NET_TURN 64	    /* callers served in a turn: bounds how long our own answers wait */
 #define NET_LATE_S 0.5 /* seconds from turn to turn: a few of them, and callers have given up */
 #define NET_ACCEPT_BATCH 32 /* connections taken per turn: answers are not starved */
-#define NET_CROWD_PART                                                                             \
-	50 /* of the sockets for callers, one in so many is kept free if it can be                 \
-	    */
+/* of the sockets for callers, one in so many is kept free if it can be */
+#define NET_CROWD_PART 50
 #define NET_CONNS_RESERVED 64 /* sockets kept back for our own calls to state, cloud, workers */
 #define NET_SLOW_S 10.0	      /* seconds a half-sent request may take: it holds a socket */
 #define NET_IDLE_S 40.0	      /* seconds a kept client connection idles: reconnects cost more */
@@ -24,17 +23,18 @@
 #define NET_FILES 8 /* files beside connections: listeners, epoll, standard ones */
 
 /* --- http --- */
-#define HTTP_HEAD_MAX 8192	  /* bytes of request line and headers: ours have a few hundred */
-#define HTTP_PATH_MAX 512	  /* bytes: longest path is a key of 200 bytes and a query */
+#define HTTP_HEAD_MAX 8192 /* bytes of request line and headers: ours have a few hundred */
+#define HTTP_PATH_MAX 512  /* bytes: longest path is a key of 200 bytes and a query */
 #define HTTP_BODY_MAX ((size_t)64 * 1024) /* bytes, from the protocol */
-#define HTTP_REPLY_MAX ((size_t)8 * 1024 * 1024) /* bytes: a watch's answer has no limit of its own */
+/* bytes: a watch's answer has no limit of its own */
+#define HTTP_REPLY_MAX ((size_t)8 * 1024 * 1024)
 
 /* --- wire --- */
 #define JOB_TASKS_MAX 100000 /* tasks of one job, from the protocol */
 #define WIRE_NUMBER_MAX 1e9  /* amounts above this are mistakes: 30 years, a billion CPUs */
 
-#define REPORT_CACHE_TEXT_MAX                                                                      \
-	2048 /* bytes of a report kept to recognise the next: some ten tasks */
+/* bytes of a report kept to recognise the next: some ten tasks */
+#define REPORT_CACHE_TEXT_MAX 2048
 
 /* --- operators' settings --- */
 #define OPERATOR_PATIENCE_MAX_S 86400.0 /* seconds: a day idle is as good as for ever */
@@ -69,33 +69,29 @@
 #define ASK_WAIT_S 1.0	      /* seconds a question waits for that: a poll is given up at 2 */
 #define COUNTS_EVERY_S 2.0    /* seconds between questions for counts: what is shown may lag by 3 */
 #define COUNTS_KEEP_S 6.0     /* seconds the leader's counts are shown */
-#define COUNTS_ASKED_S                                                                             \
-	10.0 /* seconds after a poll during which they are asked for: polls come every 5 */
-#define PEER_PING_S                                                                                \
-	1.0 /* seconds between questions to others while the state service is silent               \
-	     */
-#define TOLD_KEEP_CANCELS                                                                          \
-	2.0	      /* times cancel_s that what users were told is kept: a leader asks sooner */
-#define TOLD_MAX 4096 /* cancellations kept so: some 0.5 MB */
+/* seconds after a poll during which they are asked for: polls come every 5 */
+#define COUNTS_ASKED_S 10.0
+/* seconds between questions to others while the state service is silent */
+#define PEER_PING_S 1.0
+/* times cancel_s that what users were told is kept: a leader asks sooner */
+#define TOLD_KEEP_CANCELS 2.0
+#define TOLD_MAX 4096	     /* cancellations kept so: some 0.5 MB */
 #define PEER_ALONE_S 4.0     /* seconds without state service and peers before /ready says so */
 #define PEER_BACKOFF_S 2.0   /* seconds nothing is handed to a peer that could not serve either */
 #define RETRY_AFTER_S 1	     /* seconds: the least a user waits anyway */
 #define RETRY_AFTER_BUSY_S 2 /* seconds: a full queue drains in about this time */
 #define FINAL_CACHE_MAX 4096 /* final states kept: about 0.5 MB; the oldest go first */
-#define SUBMIT_BATCH_BYTES                                                                         \
-	48000 /* bytes of one transaction of submissions: 64 KiB is its limit                      \
-	       */
+/* bytes of one transaction of submissions: 64 KiB is its limit */
+#define SUBMIT_BATCH_BYTES 48000
 
 /* --- commits --- */
 #define COMMIT_BYTES 48000  /* bytes of one transaction: 64 KiB is the limit, keys included */
 #define COMMIT_RETRY_S 0.25 /* seconds before a refused transaction is sent again */
-#define WRITE_SHARE_LEADER                                                                         \
-	0.85		/* share of write_rps the leader uses: the rest takes submissions          \
-			 */
+/* share of write_rps the leader uses: the rest takes submissions */
+#define WRITE_SHARE_LEADER 0.85
 #define CHUNK_TASKS 128 /* tasks whose bindings and done bits share one key, below 8 KiB */
-#define CHUNK_ENTRY_BYTES                                                                          \
-	100		     /* bytes of one more binding in it: long names of machine and zone    \
-			      */
+/* bytes of one more binding in it: long names of machine and zone */
+#define CHUNK_ENTRY_BYTES 100
 #define CHUNK_SPARE_BYTES 64 /* bytes of a value beside its bindings: the done bits, braces */
 #define FINAL_WAIT_S 1.0     /* seconds for the other tasks of a done job to be heard of */
 #define JOBS_EVERY_S 0.25    /* seconds between looks for them */
@@ -123,9 +119,8 @@
 
 /* --- machines --- */
 #define MACHINE_FRESH_REPORTS 2.5 /* reports missed before a machine gets no new tasks */
-#define MACHINE_DEAD_MARGIN_S                                                                      \
-	1.0		   /* seconds beyond the worker's lease: its tasks are lost anyway         \
-			    */
+/* seconds beyond the worker's lease: its tasks are lost anyway */
+#define MACHINE_DEAD_MARGIN_S 1.0
 #define MACHINE_ASK_S 1.0  /* seconds between questions to one machine */
 #define ASKS_PER_S 40.0	   /* questions a second to all at least: each costs as much as a report */
 #define ASK_ALL_LEASES 0.5 /* leases within which all machines can be asked */
@@ -134,12 +129,10 @@
 #define MACHINE_NEWS_REPORTS 1.5 /* report intervals without news: one may be a quarter late */
 #define MACHINE_DEAF_S 60.0	 /* seconds a machine that does not hear us is kept */
 #define MACHINE_SHOW_S 3.0	 /* seconds between questions to a machine not heard of this term */
-#define MACHINE_SHOW_REPORTS                                                                       \
-	2.0 /* report intervals in which all find a new leader by themselves                       \
-	     */
-#define MACHINE_BOOT_FACTOR                                                                        \
-	3.0 /* times the boot time before a machine counts as never coming up                      \
-	     */
+/* report intervals in which all find a new leader by themselves */
+#define MACHINE_SHOW_REPORTS 2.0
+/* times the boot time before a machine counts as never coming up */
+#define MACHINE_BOOT_FACTOR 3.0
 #define MACHINE_BOOT_EXTRA_S 20.0 /* seconds on top: short boots vary more */
 #define MACHINE_GONE_LISTS 2	  /* lists without it before a listed, silent machine is deleted */
 #define MACHINE_FAULT_JOBS 2	  /* different jobs that fail on a machine before it is drained */
@@ -150,9 +143,8 @@
 #define LISTED_EVERY_S 3.0   /* seconds between machine lists: they lag by more */
 #define MACHINES_EVERY_S 0.5 /* seconds between looks at all machines */
 #define CUT_SHARE 0.7	     /* share of machines silent at once: then it is us who are cut */
-#define SILENT_SHARE                                                                               \
-	0.34	       /* of the machines overdue at once up to which one may be deleted early     \
-			*/
+/* of the machines overdue at once up to which one may be deleted early */
+#define SILENT_SHARE 0.34
 #define CUT_MACHINES 3 /* machines heard of before that share means anything */
 
 /* --- scheduling --- */
@@ -172,10 +164,9 @@
 #define PREEMPT_SHARE 0.1   /* share of the class's shortest wait aim that passes first */
 #define PREEMPT_HOLD_S 20.0 /* seconds room is held for a gang that work was stopped for */
 #define PLAN_AGAIN_S 2.0    /* seconds between looks for room to be made for one gang */
-#define GATHER_AFTER_S                                                                             \
-	45.0 /* seconds a gang waits before room is held for it as it falls free:                  \
-	      */
-/* within four minutes it has to begin, others are to be served too */
+/* seconds a gang waits before room is held for it as it falls free: within four minutes it has to
+ * begin, others are to be served too */
+#define GATHER_AFTER_S 45.0
 #define GATHER_LEAD_S 60.0     /* seconds before a far aim: large gangs took up to 40 to gather */
 #define GATHER_MOST 2	       /* gangs that hold so at once: held room is idle room */
 #define GATHER_SHARE 0.05      /* share of a fleet's CPUs that may be held so, however many gangs */
@@ -185,15 +176,14 @@
 #define GATHER_HOLD_S 2.0      /* seconds held beyond the last round: rounds come twice a second */
 #define GATHER_USED_SHARE 0.05 /* of room in use that falls free in the seconds that matter */
 #define AGAIN_START_S 15.0     /* seconds to find room, start and fetch anew */
-#define AGAIN_FACTOR                                                                               \
-	1.5		   /* times the estimate, for a task that begins anew: often wrong by half \
-			    */
+/* times the estimate, for a task that begins anew: often wrong by half */
+#define AGAIN_FACTOR 1.5
 #define NEED_START_S 10.0  /* seconds to start and fetch, off the time an array has left */
 #define LATE_FIRST_S 140.0 /* seconds of waiting after which a gang goes before all others */
 #define ORDER_FAR_S 1e6	   /* seconds: before or behind all that have a time of their own */
 #define ORDINARY_S 4.0	   /* seconds: an ordinary machine's worth to those who need one */
-#define REPLICA_MACHINE_S                                                                          \
-	8.0 /* seconds: a second replica on one machine, against a fetch elsewhere */
+/* seconds: a second replica on one machine, against a fetch elsewhere */
+#define REPLICA_MACHINE_S 8.0
 #define REPLICA_STEADY_S 20.0 /* seconds a replica runs before its end is no failure to start */
 #define REPLICA_SPARE 1	      /* replicas of each class of services whose room is kept free */
 #define REPLICA_ZONE_S 0.5    /* seconds: another replica in the same zone, if machines are alike */
@@ -206,9 +196,8 @@
 #define RENT_EVERY_S 0.5  /* seconds between looks at what is missing */
 #define RENT_AFTER_S 0.3  /* seconds a task waits before machines are rented for it */
 #define RENT_SETTLE_S 4.0 /* seconds after a take-over: workers have yet to report */
-#define RENT_SHAPES_MAX                                                                            \
-	64		/* shapes and zones remembered while it is planned: others are slower      \
-			 */
+/* shapes and zones remembered while it is planned: others are slower */
+#define RENT_SHAPES_MAX 64
 #define CLOUD_SHARE 0.9 /* share of the cloud's rate: clocks differ, a late turn sends at once */
 #define RENT_GIVE_UP_S 30.0	 /* seconds a request without an answer is repeated */
 #define RENT_SPOT_S 5.0		 /* seconds: a spot machine may be taken back */
@@ -216,9 +205,10 @@
 #define RENT_ESTIMATE_FACTOR 1.5 /* times the estimate: owners are often wrong by half */
 #define RENT_LEAD_S 60.0	 /* seconds to rent, boot and fetch before a task can start */
 #define RENT_JITTER 0.02	 /* share: equal offers are spread over zones */
-#define TOMBSTONES_MAX 8192	    /* deleted machines remembered in a term: lists lag, copies come late */
-#define NOTICE_MARGIN_S 2.0 /* seconds beyond the save: the stop has to arrive */
-#define RENT_REFUSED_S 10.0 /* seconds before a refused type, zone and kind is asked again */
+/* deleted machines remembered in a term: lists lag, copies come late */
+#define TOMBSTONES_MAX 8192
+#define NOTICE_MARGIN_S 2.0	/* seconds beyond the save: the stop has to arrive */
+#define RENT_REFUSED_S 10.0	/* seconds before a refused type, zone and kind is asked again */
 #define RENT_REFUSED_MAX_S 40.0 /* seconds: capacity may come back any time */
 #define RENT_BATCH_MAX 50	/* machines per request, from the protocol */
 #define DELETE_BATCH_MAX 100	/* names per request, from the protocol */
