Answers end with NUL: what was left of a longer one before could be read behind them

Cause of the unsteady upgrade test: answers on a kept connection are not terminated, and readers that take them as text (refusals of the cloud, the loopback harness) read on into a longer earlier answer. Ruled out: the format, the leader (it answered all along).

--- a/src/core/commit.c
+++ b/src/core/commit.c
@@ -544,7 +544,7 @@
 	}
 	if (status == 409) {
 		o = wire_parse(body, len);
-		log_info("commit_conflict", "body=%.200s", body);
+		log_info("commit_conflict", "body=%.*s", (int)(len < 200 ? len : 200), body);
 		if (c->flight.fence)
 			store_get(c, fence_key(c), on_fence_read, NULL);
 		else if (wire_failed_has(o, election_key(c->el.format)))
--- a/src/net/net.c
+++ b/src/net/net.c
@@ -413,7 +413,7 @@
 static void conn_read(struct net *n, struct conn *c)
 {
 	for (;;) {
-		char *p = buf_room(&c->in, NET_READ_CHUNK);
+		char *p = buf_room(&c->in, NET_READ_CHUNK + 1);
 		ssize_t r = recv(c->fd, p, NET_READ_CHUNK, 0);
 
 		if (r < 0 && errno == EINTR)
@@ -427,6 +427,9 @@
 		if (!c->in.len && c->kind == CONN_SERVER)
 			server_stir(n, c);
 		c->in.len += (size_t)r;
+		/* A longer message came before on this connection: none of it may follow this one.
+		 */
+		p[r] = 0;
 		if (c->in.len > HTTP_REPLY_MAX + HTTP_HEAD_MAX ||
 		    (c->kind == CONN_SERVER && c->in.len > HTTP_BODY_MAX + HTTP_HEAD_MAX)) {
 			conn_broken(n, c);
