--- a/src/net/net.h
+++ b/src/net/net.h
@@ -15,7 +15,8 @@
 struct net_ops {
 	void (*request)(void *ctx, uint64_t conn, enum net_side side, const char *method,
 			const char *path, const char *body, size_t len);
-	/* status 0: no answer; it may have been carried out, or may yet be. A NUL follows the body. */
+	/* status 0: no answer; it may have been carried out, or may yet be. A NUL follows the body.
+	 */
 	void (*reply)(void *ctx, uint64_t id, int status, const char *body, size_t len);
 };
 
