--- a/tests/unit.c
+++ b/tests/unit.c
@@ -504,6 +504,63 @@
 	net_free(us.net);
 }
 
+/* A server whose first answer is long and whose second, on the same connection, is short. */
+struct two_answers {
+	struct net *server;
+	int asked, answered;
+	size_t len[2], text_len[2]; /* of each answer: as told, and up to its NUL */
+};
+
+static void two_request(void *ctx, uint64_t conn, enum net_side side, const char *method,
+			const char *path, const char *body, size_t len)
+{
+	static const char first[] = "{\"text\":\"a long answer that fills the buffer\"}";
+	struct two_answers *two = ctx;
+	bool longer = !two->asked++;
+
+	(void)side, (void)method, (void)path, (void)body, (void)len;
+	net_answer(two->server, conn, 200, 0, longer ? first : "{}", longer ? strlen(first) : 2);
+}
+
+static void two_reply(void *ctx, uint64_t id, int status, const char *body, size_t len)
+{
+	struct two_answers *two = ctx;
+
+	check(status == 200 && id < 2, "answers end", "status");
+	two->len[id % 2] = len;
+	two->text_len[id % 2] = strlen(body);
+	two->answered++;
+}
+
+/* Readers may take an answer as text: nothing of the one before may follow it. */
+static void test_answers_end(void)
+{
+	static const struct net_ops server_ops = {two_request, NULL},
+				    client_ops = {NULL, two_reply};
+	struct two_answers two = {0};
+	struct net *client = net_new(&client_ops, &two, 100, 60);
+	struct sockaddr_in sa;
+	char addr[32];
+
+	two.server = net_new(&server_ops, &two, 100, 60);
+	short_listen(two.server, &sa);
+	snprintf(addr, sizeof(addr), "127.0.0.1:%d", ntohs(sa.sin_port));
+	for (int i = 0; i < 2; i++) {
+		struct net_call call = {(uint64_t)i, addr, "GET", "/", "", 0, 5};
+
+		net_send(client, &call);
+		for (int k = 0; k < 500 && two.answered == i; k++) {
+			net_poll(client, 0.005);
+			net_poll(two.server, 0.005);
+		}
+	}
+	check(two.answered == 2, "answers end", "both came");
+	check(two.text_len[0] == two.len[0], "answers end", "the long one");
+	check(two.text_len[1] == 2 && two.len[1] == 2, "answers end", "the short one");
+	net_free(client);
+	net_free(two.server);
+}
+
 #define REPORT_HEAD                                                                                \
 	"{\"" W_MACHINE "\":\"vm-000001\",\"" W_ADDR "\":\"10.1.0.1:9000\",\"" W_TYPE              \
 	"\":\"g\",\"" W_ZONE "\":\"a\",\"" W_SPOT "\":false,\"" W_SESSION "\":1,\"" W_SEQ "\":"
@@ -563,6 +620,7 @@
 	test_job_roundtrip();
 	test_reports();
 	test_report_cache();
+	test_answers_end();
 	test_bits();
 	test_rho();
 	test_sockets_short();
