--- a/review/common/bed.c
+++ b/review/common/bed.c
@@ -33,6 +33,10 @@
 #define SUBMIT_TIMEOUT_S 5.0
 #define PATH_BYTES 128
 
+#define PORT_FIRST 12000
+#define PORT_COUNT 18000
+#define PORT_STEP 37 /* between the first ports of two processes with successive ids */
+
 enum call_kind { CALL_REPORT = 1, CALL_SUBMIT, CALL_CANCEL };
 #define CALL_KIND_SHIFT 56
 #define CALL_INDEX_SHIFT 40
@@ -402,18 +406,32 @@
 
 /* --- setup --- */
 
+/*
+ * Binds a free port below those that the system gives to outgoing connections, so that none of
+ * these takes the port of a server while it is not open. Returns the socket, or -1.
+ */
 static int bind_free_port(char address[BED_ADDRESS_BYTES])
 {
-	struct sockaddr_in socket_address = {.sin_family = AF_INET};
-	socklen_t length = sizeof(socket_address);
-	int fd = socket(AF_INET, SOCK_STREAM, 0);
-
-	socket_address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-	if (fd < 0 || bind(fd, (struct sockaddr *)&socket_address, sizeof(socket_address)) ||
-	    getsockname(fd, (struct sockaddr *)&socket_address, &length))
-		return -1;
-	snprintf(address, BED_ADDRESS_BYTES, "127.0.0.1:%d", ntohs(socket_address.sin_port));
-	return fd;
+	static int offset = -1;
+
+	if (offset < 0)
+		offset = getpid() * PORT_STEP % PORT_COUNT;
+	for (int tries = 0; tries < PORT_COUNT; tries++) {
+		int port = PORT_FIRST + offset++ % PORT_COUNT;
+		struct sockaddr_in socket_address = {.sin_family = AF_INET,
+						     .sin_port = htons((uint16_t)port)};
+		int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+		socket_address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+		if (fd >= 0 &&
+		    !bind(fd, (struct sockaddr *)&socket_address, sizeof(socket_address))) {
+			snprintf(address, BED_ADDRESS_BYTES, "127.0.0.1:%d", port);
+			return fd;
+		}
+		if (fd >= 0)
+			close(fd);
+	}
+	return -1;
 }
 
 /* Chooses an address for each server and controller. All ports are held open until all are chosen,
