--- a/src/core/agents/commands.c
+++ b/src/core/agents/commands.c
@@ -38,7 +38,8 @@
 {
 	const struct job *job = binding->job;
 
-	if (!binding->committed || binding->observed || binding->stopping || binding->recovered)
+	if (!binding->committed || binding->observed || binding->recovered ||
+	    binding_start_is_revoked(binding))
 		return false;
 	if (job->cancelled || job->orphan || job->gang_stopping)
 		return false;
@@ -138,8 +139,6 @@
 	list->has_start = false;
 	for (size_t i = 0; i < machine->agent.unbound_task_count; i++)
 		add_unbound_task_command(core, machine, &machine->agent.unbound_tasks[i], list);
-	if (machine->cloud.deleting)
-		return;
 	DL_FOREACH2 (machine->bindings, binding, machine_next)
 		add_binding_command(core, binding, channel, list);
 }
--- a/src/core/model/binding.c
+++ b/src/core/model/binding.c
@@ -31,6 +31,11 @@
 	return !binding->recovered && !binding->start_incarnation && !binding->start_sequence;
 }
 
+bool binding_start_is_revoked(const struct binding *binding)
+{
+	return binding->stopping || binding->machine->cloud.deleting;
+}
+
 void binding_stop(struct core *core, struct binding *binding, double grace_s)
 {
 	if (binding->stopping && grace_s >= binding->grace_s)
--- a/src/core/model/binding.h
+++ b/src/core/model/binding.h
@@ -83,6 +83,9 @@
 /* True if no start of the binding's task was sent in this term, and an earlier leader can't have
  * sent one either. */
 bool binding_start_never_sent(const struct binding *binding);
+/* True if the binding's task is not to be started any more: its stop is requested, or its machine
+ * is to be deleted. */
+bool binding_start_is_revoked(const struct binding *binding);
 /*
  * Ends the binding, whose attempt is proved to have ended or was never started. `reason` decides on
  * backoffs and on whether the task is done. Returns the task's resources to the machine and the
