--- a/src/core/agents/agent_restart.c
+++ b/src/core/agents/agent_restart.c
@@ -31,6 +31,7 @@
 	agent->min_token = election_token(core);
 	agent->incarnation = 0;
 	agent->sequence = 0;
+	agent->heartbeat_sequence = 0;
 	agent->token = 0;
 	agent->last_message_at = -1;
 	agent->last_heartbeat_at = -1;
@@ -50,7 +51,7 @@
 	binding->recovered = true;
 	binding->observed = false;
 	binding->start_incarnation = 0;
-	binding->start_sequence = 0;
+	binding->starts.heartbeat_sequence = 0;
 	binding->listed_sequence = 0;
 	binding->min_token = election_token(core);
 }
--- a/src/core/agents/commands.c
+++ b/src/core/agents/commands.c
@@ -71,7 +71,7 @@
 	binding->start_sent_at = core->now;
 	binding->start_incarnation = agent->incarnation;
 	if (channel == CHANNEL_HEARTBEAT)
-		binding->start_sequence = agent->sequence;
+		binding->starts.heartbeat_sequence = agent->heartbeat_sequence;
 }
 
 /*
@@ -101,15 +101,16 @@
 /*
  * The agent may forget an ended task only once the task's end is recorded in the state service:
  * until then the agent's report is the only proof of it. Nor may the agent forget the task while a
- * start that was sent earlier, or under an older token, can still arrive: the agent would start the
- * task again.
+ * start that was sent earlier, directly or in an answer, or under an older token, can still arrive:
+ * the agent would start the task again.
  */
 static bool may_forget(struct core *core, const struct machine *machine,
 		       const struct unbound_task *unbound)
 {
 	const struct job *job = job_find(core, unbound->job);
 
-	if (!machine_starts_are_fenced(machine) || machine->agent.token < election_token(core))
+	if (!machine_starts_are_fenced(machine) || machine->agent.token < election_token(core) ||
+	    !sent_starts_are_void(&unbound->starts, &machine->agent))
 		return false;
 	return !job || unbound->task >= job->spec.task_count ||
 	       write_queue_is_flushed(job, unbound->task);
--- a/src/core/agents/reconciliation.c
+++ b/src/core/agents/reconciliation.c
@@ -45,8 +45,40 @@
 	binding->state = state;
 }
 
+/*
+ * The unbound tasks of the report before. They are searched from the place after the last hit,
+ * since agents list their tasks in much the same order each time.
+ */
+struct previous_unbound {
+	struct unbound_task *tasks;
+	size_t count;
+	size_t next; /* index at which the next search begins */
+};
+
+static bool is_same_attempt(const struct unbound_task *unbound, const struct report_task *listed)
+{
+	return unbound->task == listed->task && unbound->attempt == listed->attempt &&
+	       !strcmp(unbound->job, listed->job);
+}
+
+/* Returns the unbound task of the report before that is this attempt; NULL if there is none. */
+static const struct unbound_task *previous_unbound_find(struct previous_unbound *previous,
+							const struct report_task *listed)
+{
+	for (size_t i = 0; i < previous->count; i++) {
+		size_t place = (previous->next + i) % previous->count;
+
+		if (is_same_attempt(&previous->tasks[place], listed)) {
+			previous->next = place + 1;
+			return &previous->tasks[place];
+		}
+	}
+	return NULL;
+}
+
 /* Records a listed task that is not bound, or whose binding is about to end. */
-static void add_unbound_task(struct machine *machine, const struct report_task *listed)
+static struct unbound_task *add_unbound_task(struct machine *machine,
+					     const struct report_task *listed)
 {
 	struct machine_agent *agent = &machine->agent;
 	struct unbound_task *unbound;
@@ -57,7 +89,9 @@
 	snprintf(unbound->job, sizeof(unbound->job), "%s", listed->job);
 	unbound->task = listed->task;
 	unbound->attempt = listed->attempt;
+	unbound->starts = (struct sent_starts){0};
 	unbound->ended = listed->state == TASK_EXITED;
+	return unbound;
 }
 
 void unbound_tasks_clear(struct machine *machine)
@@ -67,24 +101,60 @@
 	machine->agent.unbound_task_count = 0;
 }
 
+/* Handles a bound task that the report lists as ended. */
+static void reconcile_ended_binding(struct core *core, struct binding *binding,
+				    const struct report_task *listed)
+{
+	struct machine *machine = binding->machine;
+
+	add_unbound_task(machine, listed)->starts = binding->starts;
+	if (listed->end_reason == END_DONE)
+		machine_mark_image_used(machine, binding->job->spec.image);
+	binding_end(core, binding, listed->end_reason);
+}
+
+/* Handles a task that the report lists but that is not bound. */
+static void reconcile_unbound_task(struct core *core, struct machine *machine,
+				   const struct report_task *listed,
+				   struct previous_unbound *previous)
+{
+	const struct unbound_task *known = previous_unbound_find(previous, listed);
+	struct unbound_task *unbound = add_unbound_task(machine, listed);
+
+	if (known)
+		unbound->starts = known->starts;
+	if (listed->state == TASK_EXITED && listed->end_reason == END_DONE)
+		job_handle_unbound_task_done(core, listed->job, listed->task);
+}
+
 static void reconcile_listed_task(struct core *core, struct machine *machine,
-				  const struct report_task *listed)
+				  const struct report_task *listed,
+				  struct previous_unbound *previous)
 {
 	struct binding *binding = binding_find(machine, listed);
-	bool done = listed->end_reason == END_DONE;
 
-	if (binding && listed->state != TASK_EXITED) {
+	if (!binding)
+		reconcile_unbound_task(core, machine, listed, previous);
+	else if (listed->state == TASK_EXITED)
+		reconcile_ended_binding(core, binding, listed);
+	else
 		update_listed_binding(core, binding, listed->state);
-		return;
-	}
-	add_unbound_task(machine, listed);
-	if (binding) {
-		if (done)
-			machine_mark_image_used(machine, binding->job->spec.image);
-		binding_end(core, binding, listed->end_reason);
-	} else if (listed->state == TASK_EXITED && done) {
-		job_handle_unbound_task_done(core, listed->job, listed->task);
-	}
+}
+
+static void reconcile_listed_tasks(struct core *core, struct machine *machine,
+				   const struct report *report)
+{
+	struct machine_agent *agent = &machine->agent;
+	struct previous_unbound previous = {
+	    .tasks = agent->unbound_tasks,
+	    .count = agent->unbound_task_count,
+	};
+
+	agent->unbound_tasks = NULL;
+	agent->unbound_task_count = 0;
+	for (size_t i = 0; i < report->task_count; i++)
+		reconcile_listed_task(core, machine, &report->tasks[i], &previous);
+	free(previous.tasks);
 }
 
 /* --- bindings whose task the report does not list --- */
@@ -106,7 +176,7 @@
 static bool absence_proves_end(const struct machine *machine, const struct binding *binding)
 {
 	return machine->agent.token >= binding->min_token && machine_starts_are_fenced(machine) &&
-	       machine->agent.sequence > binding->start_sequence;
+	       sent_starts_are_void(&binding->starts, &machine->agent);
 }
 
 /* True if the binding is to end, and only a report under a new token can prove its end. */
@@ -165,9 +235,7 @@
 void reconcile_report(struct core *core, struct machine *machine, const struct report *report,
 		      enum report_origin origin)
 {
-	unbound_tasks_clear(machine);
-	for (size_t i = 0; i < report->task_count; i++)
-		reconcile_listed_task(core, machine, &report->tasks[i]);
+	reconcile_listed_tasks(core, machine, report);
 	while (end_first_unlisted_binding(core, machine, origin))
 		continue;
 }
--- a/src/core/agents/reports.c
+++ b/src/core/agents/reports.c
@@ -53,8 +53,10 @@
 		agent->token = report->token;
 	agent->last_message_at = core->now;
 	machine->probes.unanswered = 0;
-	if (origin == REPORT_HEARTBEAT)
-		agent->last_heartbeat_at = core->now;
+	if (origin != REPORT_HEARTBEAT)
+		return;
+	agent->heartbeat_sequence = report->sequence;
+	agent->last_heartbeat_at = core->now;
 }
 
 static void record_machine_up(struct core *core, struct machine *machine)
--- a/src/core/model/binding.c
+++ b/src/core/model/binding.c
@@ -28,7 +28,8 @@
 
 bool binding_start_never_sent(const struct binding *binding)
 {
-	return !binding->recovered && !binding->start_incarnation && !binding->start_sequence;
+	return !binding->recovered && !binding->start_incarnation &&
+	       !binding->starts.heartbeat_sequence;
 }
 
 bool binding_start_is_revoked(const struct binding *binding)
--- a/src/core/model/binding.h
+++ b/src/core/model/binding.h
@@ -15,6 +15,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "core/model/sent_starts.h"
 #include "wire/wire.h"
 
 struct core;
@@ -36,9 +37,7 @@
 	/* The agent's incarnation when the start was last sent; 0: no start was sent since this
 	 * term began or the agent was restarted. */
 	uint64_t start_incarnation;
-	/* The sequence number of the heartbeat whose answer last carried the start; 0: no answer
-	 * has carried a start since this term began or the agent was restarted. */
-	uint64_t start_sequence;
+	struct sent_starts starts; /* the messages that carried the start */
 	/* The sequence number of the newest report that lists the task; 0: no report has listed the
 	 * task since this term began or the agent was restarted. */
 	uint64_t listed_sequence;
--- a/src/core/model/machine.h
+++ b/src/core/model/machine.h
@@ -11,6 +11,7 @@
 #include <uthash.h>
 
 #include "constants.h"
+#include "core/model/sent_starts.h"
 #include "wire/wire.h"
 
 struct binding;
@@ -22,9 +23,10 @@
  * stop it, or to forget it if it has ended. */
 struct unbound_task {
 	char job[ID_MAX];
-	uint32_t task;	  /* index of the task in the job */
-	uint64_t attempt; /* number of the attempt, see `attempt` in struct binding */
-	bool ended;	  /* the attempt has exited, and the agent may be told to forget it */
+	uint32_t task;		   /* index of the task in the job */
+	uint64_t attempt;	   /* number of the attempt, see `attempt` in struct binding */
+	struct sent_starts starts; /* the messages that carried the start */
+	bool ended; /* the attempt has exited, and the agent may be told to forget it */
 };
 
 /*
@@ -39,7 +41,9 @@
 	 * or the agent is restarted; only a restart within a fraction of a second may lower it. */
 	uint64_t incarnation;
 	uint64_t sequence; /* sequence number of the newest message that was applied */
-	uint64_t token;	   /* newest fencing token that the agent has shown */
+	/* Sequence number of the newest heartbeat that was applied; 0: as for `incarnation`. */
+	uint64_t heartbeat_sequence;
+	uint64_t token; /* newest fencing token that the agent has shown */
 	/* Heartbeats with a lower fencing token may be copies from before the agent's restart, and
 	 * are stale (see reports.h); 0: the agent was not restarted in this term. */
 	uint64_t min_token;
--- a/tests/runner/delivery.c
+++ b/tests/runner/delivery.c
@@ -85,6 +85,17 @@
 	return (uintptr_t)pending;
 }
 
+/* Keeps a copy of a direct message, which a scenario may capture. */
+static void note_commands(struct world *world, const struct message *message)
+{
+	int machine = message->to - HOST_MACHINES;
+
+	if (machine >= CAPTURED_MACHINES || strcmp(message->path, W_PATH_COMMANDS))
+		return;
+	free(world->newest_commands[machine]);
+	world->newest_commands[machine] = xstrdup(message->body);
+}
+
 static void deliver_machine_request(struct world *world, const struct message *message)
 {
 	struct standin_machine *machine = &world->standin.machines[message->to - HOST_MACHINES];
@@ -95,6 +106,7 @@
 		requeue_request(world, message);
 		return;
 	}
+	note_commands(world, message);
 	standin_agent_handle_request(&world->standin, machine, standin_request_new(message),
 				     message->path, message->body);
 }
--- a/tests/runner/faults.c
+++ b/tests/runner/faults.c
@@ -13,6 +13,7 @@
 #include "message_queue.h"
 #include "network.h"
 #include "util/xalloc.h"
+#include "wire/names.h"
 
 #define DEFAULT_DOWN_S 3      /* downtime of a controller that crashes */
 #define DEFAULT_DURATION_S 10 /* duration of a partition, a freeze or an outage */
@@ -265,10 +266,34 @@
 	}
 }
 
+/* Holds up messages of one kind that are for a machine. */
+static void hold_messages(struct world *world, const struct scenario_line *line,
+			  enum cut_scope scope)
+{
+	int machine = HOST_MACHINES + line_integer(line, 1);
+	struct network_cut *added =
+	    network_cut_add(world, HOST_ANY, machine, end_time(world, line));
+
+	added->scope = scope;
+	added->mode = CUT_HOLD;
+}
+
+/* hold_answers K for=S: answers to reports of machine K arrive after S seconds */
+static void hold_answers(struct world *world, const struct scenario_line *line)
+{
+	hold_messages(world, line, CUT_ANSWERS);
+}
+
+/* hold_commands K for=S: direct commands and probes reach machine K after S seconds */
+static void hold_commands(struct world *world, const struct scenario_line *line)
+{
+	hold_messages(world, line, CUT_COMMANDS);
+}
+
 /* capture K: saves a copy of the newest report of machine K */
 static void capture_report(struct world *world, const struct scenario_line *line)
 {
-	int machine = line_integer(line, 1) % CAPTURED_REPORTS;
+	int machine = line_integer(line, 1) % CAPTURED_MACHINES;
 
 	free(world->captured_reports[machine]);
 	world->captured_reports[machine] = xstrdup(world->standin.machines[machine].report_text);
@@ -277,7 +302,7 @@
 /* replay K: sends the captured report of machine K to the leader once more */
 static void replay_report(struct world *world, const struct scenario_line *line)
 {
-	int machine = line_integer(line, 1) % CAPTURED_REPORTS;
+	int machine = line_integer(line, 1) % CAPTURED_MACHINES;
 	int leader = controller_leader(world);
 	struct message *report;
 
@@ -291,6 +316,34 @@
 	report->body = xstrdup(world->captured_reports[machine]);
 }
 
+/* capture_commands K: saves a copy of the newest direct message that reached machine K */
+static void capture_commands(struct world *world, const struct scenario_line *line)
+{
+	int machine = line_integer(line, 1) % CAPTURED_MACHINES;
+	const char *newest = world->newest_commands[machine];
+
+	free(world->captured_commands[machine]);
+	world->captured_commands[machine] = newest ? xstrdup(newest) : NULL;
+}
+
+/* replay_commands K: the captured direct message reaches machine K once more */
+static void replay_commands(struct world *world, const struct scenario_line *line)
+{
+	int machine = line_integer(line, 1) % CAPTURED_MACHINES;
+	const char *captured = world->captured_commands[machine];
+	struct message *request;
+
+	if (!captured) {
+		world_fail(world, "no direct message to machine %s was captured",
+			   line_word(line, 1));
+		return;
+	}
+	request = message_new(world, MESSAGE_REQUEST, 0, HOST_MACHINES + machine, world->now_s);
+	request->method = xstrdup("POST");
+	request->path = xstrdup(W_PATH_COMMANDS);
+	message_set_body(request, captured, strlen(captured));
+}
+
 /* --- faults of machines --- */
 
 typedef void machine_fault(struct world *world, const struct scenario_line *line,
@@ -372,6 +425,19 @@
 	for_machines(world, line, hang_one);
 }
 
+static void set_faulty(struct world *world, const struct scenario_line *line,
+		       struct standin_machine *machine)
+{
+	(void)world;
+	machine->faulty = begins_fault(line);
+}
+
+/* faulty K [end=1]: each task that the machine starts exits with an error */
+static void set_faulty_machines(struct world *world, const struct scenario_line *line)
+{
+	for_machines(world, line, set_faulty);
+}
+
 const struct scenario_keyword fault_keywords[] = {
     {"quiet", 0, treat_faults_as_ended},
     {"cancel_at_end", 1, cancel_at_end},
@@ -391,10 +457,15 @@
     {"inbound_partition", 1, partition_inbound},
     {"capture", 1, capture_report},
     {"replay", 1, replay_report},
+    {"hold_answers", 1, hold_answers},
+    {"hold_commands", 1, hold_commands},
+    {"capture_commands", 1, capture_commands},
+    {"replay_commands", 1, replay_commands},
     {"kill", 1, kill_machines},
     {"reclaim", 1, reclaim_machines},
     {"restart", 1, restart_machines},
     {"preemption_notice", 1, notify_machines},
     {"hang", 1, hang_machines},
+    {"faulty", 1, set_faulty_machines},
     {NULL, 0, NULL},
 };
--- a/tests/runner/network.c
+++ b/tests/runner/network.c
@@ -53,6 +53,30 @@
 	return cut->to == to && (cut->from == from || cut->from == HOST_ANY);
 }
 
+/* The scope of the cuts that stop only messages like this one; CUT_BOTH_WAYS: there is none. */
+static enum cut_scope scope_of_kind(const struct message *message)
+{
+	if (message->kind == MESSAGE_REPORT_REPLY)
+		return CUT_ANSWERS;
+	if (message->kind == MESSAGE_REQUEST && message->to >= HOST_MACHINES)
+		return CUT_COMMANDS;
+	return CUT_BOTH_WAYS;
+}
+
+/* The cut that now stops the message because of its kind; NULL if there is none. */
+static const struct network_cut *cut_by_kind(const struct world *world,
+					     const struct message *message)
+{
+	enum cut_scope scope = scope_of_kind(message);
+	const struct network_cut *cut;
+
+	LL_FOREACH(world->cuts, cut)
+	if (scope != CUT_BOTH_WAYS && cut->scope == scope && cut->to == message->to &&
+	    world->now_s < cut->until_s)
+		return cut;
+	return NULL;
+}
+
 const struct network_cut *network_cut_between(const struct world *world, int from, int to)
 {
 	const struct network_cut *cut;
@@ -103,6 +127,8 @@
 	}
 	if (message->kind != MESSAGE_TIMEOUT)
 		cut = network_cut_between(world, message->from, message->to);
+	if (!cut)
+		cut = cut_by_kind(world, message);
 	if (cut && cut->mode == CUT_HOLD) {
 		message_postpone(world, message, cut->until_s + LATENCY_S);
 		return;
--- a/tests/runner/world.c
+++ b/tests/runner/world.c
@@ -65,8 +65,11 @@
 	message_queue_free(world);
 	network_cuts_free(world);
 	clients_free(world);
-	for (int i = 0; i < CAPTURED_REPORTS; i++)
+	for (int i = 0; i < CAPTURED_MACHINES; i++) {
 		free(world->captured_reports[i]);
+		free(world->newest_commands[i]);
+		free(world->captured_commands[i]);
+	}
 	peer_requests_free(world);
 	watch_requests_free(world);
 	standin_free(&world->standin);
--- a/tests/runner/world.h
+++ b/tests/runner/world.h
@@ -19,8 +19,8 @@
 #include "core_inspection.h"
 #include "standins/standin.h"
 
-#define CAPTURED_REPORTS 8 /* machines whose reports can be captured: the first ones */
-#define STATUS_COUNT 600   /* HTTP statuses are below this */
+#define CAPTURED_MACHINES 8 /* machines whose messages can be captured: the first ones */
+#define STATUS_COUNT 600    /* HTTP statuses are below this */
 
 /* Numbers of hosts. Controllers are numbered from 0, and machine N is HOST_MACHINES + N. */
 enum host { HOST_ANY = -1, HOST_STATE = 100, HOST_CLOUD, HOST_CLIENTS, HOST_MACHINES = 1000 };
@@ -72,7 +72,9 @@
 enum cut_scope {
 	CUT_BOTH_WAYS,
 	CUT_ONE_WAY, /* messages from `from` to `to` only */
-	CUT_REPORTS  /* reports from the machine `to` to any controller only */
+	CUT_REPORTS, /* reports from the machine `to` to any controller only */
+	CUT_ANSWERS, /* answers to reports of the machine `to` only */
+	CUT_COMMANDS /* direct commands and probes to the machine `to` only */
 };
 
 /*
@@ -155,7 +157,10 @@
 	double state_outage_until_s;
 	double faults_end_s; /* when the last fault so far ends, for the checker of the rules */
 	struct election_crash election_crash;
-	char *captured_reports[CAPTURED_REPORTS]; /* by machine; NULL: none */
+	char *captured_reports[CAPTURED_MACHINES]; /* by machine; NULL: none */
+	/* Bodies of the newest direct message that reached a machine, and of the captured one, by
+	 * machine; NULL: none. */
+	char *newest_commands[CAPTURED_MACHINES], *captured_commands[CAPTURED_MACHINES];
 
 	uint64_t seed;			/* of the controllers' random numbers */
 	unsigned short random_state[3]; /* state of the simulation's generator, for erand48 */
