--- a/src/core/agents/agent_restart.c
+++ b/src/core/agents/agent_restart.c
@@ -19,7 +19,7 @@
 	machine->agent.restarted = true;
 	machine->agent.reachable = false;
 	machine->agent.unreachable_since = core->now;
-	write_queue_request_token(core);
+	write_queue_request_token(core, 0);
 }
 
 /* Resets the agent's state to that of an agent that has sent no message yet. */
@@ -51,9 +51,8 @@
 	binding->recovered = true;
 	binding->observed = false;
 	binding->start_incarnation = 0;
-	binding->starts.heartbeat_sequence = 0;
+	binding->starts = sent_starts_before(election_token(core));
 	binding->listed_sequence = 0;
-	binding->min_token = election_token(core);
 }
 
 static void restart_incarnation(const struct core *core, struct machine *machine)
--- a/src/core/agents/commands.c
+++ b/src/core/agents/commands.c
@@ -4,12 +4,6 @@
 
 #include "core/state.h"
 
-bool machine_starts_are_fenced(const struct machine *machine)
-{
-	return !machine->commands.in_flight &&
-	       machine->agent.token > machine->commands.unanswered_token;
-}
-
 /*
  * Adds a command to the message. Returns NULL if the message is full. The caller records the
  * command as sent even then: the command is due again later, like one that was lost on the way.
@@ -66,12 +60,13 @@
 {
 	const struct machine_agent *agent = &binding->machine->agent;
 
-	if (add_command(list, OP_START, binding->job->spec.id, binding->task, binding->attempt))
-		list->has_start = true;
+	add_command(list, OP_START, binding->job->spec.id, binding->task, binding->attempt);
 	binding->start_sent_at = core->now;
 	binding->start_incarnation = agent->incarnation;
 	if (channel == CHANNEL_HEARTBEAT)
 		binding->starts.heartbeat_sequence = agent->heartbeat_sequence;
+	else
+		binding->starts.direct_token = election_token(core);
 }
 
 /*
@@ -101,25 +96,34 @@
 /*
  * The agent may forget an ended task only once the task's end is recorded in the state service:
  * until then the agent's report is the only proof of it. Nor may the agent forget the task while a
- * start that was sent earlier, directly or in an answer, or under an older token, can still arrive:
- * the agent would start the task again.
+ * message that carried its start can still arrive: the agent would start the task again.
  */
 static bool may_forget(struct core *core, const struct machine *machine,
 		       const struct unbound_task *unbound)
 {
 	const struct job *job = job_find(core, unbound->job);
 
-	if (!machine_starts_are_fenced(machine) || machine->agent.token < election_token(core) ||
-	    !sent_starts_are_void(&unbound->starts, &machine->agent))
+	if (!sent_starts_are_void(&unbound->starts, &machine->agent))
 		return false;
 	return !job || unbound->task >= job->spec.task_count ||
 	       write_queue_is_flushed(job, unbound->task);
 }
 
 /*
- * Adds the command that is due for a task that is reported but not bound. If only a newer token
- * would allow the agent to forget the task, requests a new token.
+ * Requests a new token if only that allows the agent to forget the task. One token serves all ended
+ * tasks of all machines, so it is not requested at once unless the machine's reports grow long.
  */
+static void request_token_to_forget(struct core *core, const struct machine *machine,
+				    const struct unbound_task *unbound)
+{
+	bool many = machine->agent.unbound_task_count >= MACHINE_UNBOUND_TASKS_MANY;
+	double delay_s = many ? 0 : FORGET_TOKEN_DELAY_REPORTS * core->conf->report_s;
+
+	if (sent_starts_need_new_token(core, &unbound->starts))
+		write_queue_request_token(core, delay_s);
+}
+
+/* Adds the command that is due for a task that is reported but not bound. */
 static void add_unbound_task_command(struct core *core, const struct machine *machine,
 				     const struct unbound_task *unbound, struct command_list *list)
 {
@@ -127,8 +131,8 @@
 		add_command(list, OP_STOP, unbound->job, unbound->task, unbound->attempt);
 	else if (may_forget(core, machine, unbound))
 		add_command(list, OP_FORGET, unbound->job, unbound->task, unbound->attempt);
-	else if (!machine_starts_are_fenced(machine) && !machine->commands.in_flight)
-		write_queue_request_token(core);
+	else
+		request_token_to_forget(core, machine, unbound);
 }
 
 void commands_collect(struct core *core, struct machine *machine, enum command_channel channel,
@@ -137,7 +141,6 @@
 	struct binding *binding;
 
 	list->count = 0;
-	list->has_start = false;
 	for (size_t i = 0; i < machine->agent.unbound_task_count; i++)
 		add_unbound_task_command(core, machine, &machine->agent.unbound_tasks[i], list);
 	DL_FOREACH2 (machine->bindings, binding, machine_next)
--- a/src/core/agents/commands.h
+++ b/src/core/agents/commands.h
@@ -19,15 +19,8 @@
 struct command_list {
 	struct command items[COMMANDS_MAX];
 	size_t count;
-	bool has_start; /* true if `items` contains an OP_START */
 };
 
-/*
- * True if no start that was sent directly can still take effect on this machine: no direct message
- * is in flight, and the agent has shown a newer token than that of any direct message with a start
- * that was not answered.
- */
-bool machine_starts_are_fenced(const struct machine *machine);
 /*
  * Fills *list with the commands that are due for the machine's agent, at most COMMANDS_MAX. All
  * starts and stops that are due are recorded as sent through the channel, even if they did not fit
--- a/src/core/agents/direct_commands.c
+++ b/src/core/agents/direct_commands.c
@@ -38,19 +38,6 @@
 	command_queue_remove(core, machine);
 }
 
-/*
- * A start in a direct message that was not answered may still arrive. Until the agent has shown a
- * newer token, which makes it reject the start, a report that does not list the task does not prove
- * that the task has ended.
- */
-static void record_unanswered_start(struct machine *machine, const struct call *call)
-{
-	if (call->token <= machine->commands.unanswered_token)
-		return;
-	machine->commands.unanswered_token = call->token;
-	log_debug("commands_unanswered", "machine=%s", machine->id);
-}
-
 static void on_commands_answer(struct core *core, struct call *call,
 			       const struct call_answer *answer)
 {
@@ -62,8 +49,8 @@
 		machine->commands.in_flight--;
 	if (machine->commands.due)
 		command_queue_add(core, machine);
-	if (answer->outcome == CALL_UNANSWERED && call->has_start)
-		record_unanswered_start(machine, call);
+	if (answer->outcome == CALL_UNANSWERED)
+		log_debug("commands_unanswered", "machine=%s", machine->id);
 	if (answer->status == STATUS_OK || answer->status == STATUS_CONFLICT)
 		report_apply_solicited(core, machine, call, answer);
 }
@@ -93,7 +80,6 @@
 static void send_commands(struct core *core, struct machine *machine)
 {
 	struct command_list list;
-	struct call *call;
 	char *body;
 
 	commands_collect(core, machine, CHANNEL_DIRECT, &list);
@@ -103,9 +89,8 @@
 	machine->commands.in_flight++;
 	body = wire_direct_commands(election_token(core), machine->agent.incarnation, list.items,
 				    list.count);
-	call = agent_call_begin(core, machine, W_PATH_COMMANDS, body, CALL_AGENT_TIMEOUT_S,
-				on_commands_answer);
-	call->has_start = list.has_start;
+	agent_call_begin(core, machine, W_PATH_COMMANDS, body, CALL_AGENT_TIMEOUT_S,
+			 on_commands_answer);
 }
 
 /* An agent only accepts commands for its own incarnation, so the incarnation must be known. */
--- a/src/core/agents/reconciliation.c
+++ b/src/core/agents/reconciliation.c
@@ -4,7 +4,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "core/agents/commands.h"
 #include "core/state.h"
 #include "util/log.h"
 #include "util/xalloc.h"
@@ -89,7 +88,6 @@
 	snprintf(unbound->job, sizeof(unbound->job), "%s", listed->job);
 	unbound->task = listed->task;
 	unbound->attempt = listed->attempt;
-	unbound->starts = (struct sent_starts){0};
 	unbound->ended = listed->state == TASK_EXITED;
 	return unbound;
 }
@@ -121,8 +119,8 @@
 	const struct unbound_task *known = previous_unbound_find(previous, listed);
 	struct unbound_task *unbound = add_unbound_task(machine, listed);
 
-	if (known)
-		unbound->starts = known->starts;
+	/* What is not known may have been sent under any token up to the present one. */
+	unbound->starts = known ? known->starts : sent_starts_before(election_token(core) + 1);
 	if (listed->state == TASK_EXITED && listed->end_reason == END_DONE)
 		job_handle_unbound_task_done(core, listed->job, listed->task);
 }
@@ -170,42 +168,35 @@
 }
 
 /*
- * True if a heartbeat that does not list the task proves that the task is not on the machine: no
- * start that was sent for it can take effect after the agent made this heartbeat.
+ * True if the binding is to end once a report proves that its task is not on the machine. In all
+ * other cases the start did not arrive, and it is sent again.
  */
-static bool absence_proves_end(const struct machine *machine, const struct binding *binding)
+static bool absence_ends_binding(const struct binding *binding)
 {
-	return machine->agent.token >= binding->min_token && machine_starts_are_fenced(machine) &&
-	       sent_starts_are_void(&binding->starts, &machine->agent);
+	return binding->recovered || binding->observed || binding->stopping;
 }
 
-/* True if the binding is to end, and only a report under a new token can prove its end. */
-static bool needs_new_token(const struct machine *machine, const struct binding *binding)
+/* Handles a binding that is to end and whose task the heartbeat does not list. */
+static void reconcile_absent_task(struct core *core, struct binding *binding)
 {
-	return !machine_starts_are_fenced(machine) && !machine->commands.in_flight &&
-	       (binding->stopping || binding->recovered);
+	const struct machine *machine = binding->machine;
+
+	if (sent_starts_are_void(&binding->starts, &machine->agent))
+		binding_end(core, binding, END_NONE);
+	else if (!machine->commands.in_flight && sent_starts_need_new_token(core, &binding->starts))
+		write_queue_request_token(core, 0);
 }
 
 /* Ends a binding whose task the report does not list, if the report proves its end. */
-static void reconcile_unlisted_binding(struct core *core, struct machine *machine,
-				       struct binding *binding, enum report_origin origin)
+static void reconcile_unlisted_binding(struct core *core, struct binding *binding,
+				       enum report_origin origin)
 {
 	if (!binding->committed || binding_start_never_sent(binding))
 		return;
-	if (incarnation_has_ended(machine, binding)) {
-		binding_end(core, binding, END_NONE);
-		return;
-	}
-	if (origin != REPORT_HEARTBEAT)
-		return;
-	if (!absence_proves_end(machine, binding)) {
-		if (needs_new_token(machine, binding))
-			write_queue_request_token(core);
-		return;
-	}
-	/* In all other cases the start did not arrive, and it is sent again. */
-	if (binding->recovered || binding->observed || binding->stopping)
+	if (incarnation_has_ended(binding->machine, binding))
 		binding_end(core, binding, END_NONE);
+	else if (origin == REPORT_HEARTBEAT && absence_ends_binding(binding))
+		reconcile_absent_task(core, binding);
 }
 
 /*
@@ -225,7 +216,7 @@
 
 		if (binding->listed_sequence == machine->agent.sequence)
 			continue;
-		reconcile_unlisted_binding(core, machine, binding, origin);
+		reconcile_unlisted_binding(core, binding, origin);
 		if (machine->binding_count != count)
 			return true;
 	}
--- a/src/core/agents/reconciliation.h
+++ b/src/core/agents/reconciliation.h
@@ -4,13 +4,8 @@
  * A report proves the end of a binding in three cases only:
  * - It lists the task as ended.
  * - The agent's incarnation is newer than the incarnation that was sent the start.
- * - It is a heartbeat that does not list the task, the agent has shown the newest token under which
- *   the task can have been started, and no answer that carried the start can still arrive
- *   (sent_starts_are_void).
- *
- * A direct start that was sent under the newest token and not answered may still arrive. Until a
- * new token fences it off, the agent must not forget any ended task, and a report that does not
- * list a task does not prove that the task has ended.
+ * - It is a heartbeat that does not list the task, and no message that carried the start can take
+ *   effect any more (sent_starts.h).
  */
 #ifndef PLOVERLOFT_RECONCILIATION_H
 #define PLOVERLOFT_RECONCILIATION_H
--- a/src/core/model/binding.c
+++ b/src/core/model/binding.c
@@ -16,7 +16,7 @@
 	binding->job = job;
 	binding->task = task;
 	binding->attempt = attempt;
-	binding->min_token = election_token(core);
+	binding->starts = sent_starts_before(election_token(core));
 	DL_APPEND2(job->bindings, binding, job_prev, job_next);
 	machine_add_binding(core, binding);
 	job_mark_task_bound(job, task);
--- a/src/core/model/binding.h
+++ b/src/core/model/binding.h
@@ -31,9 +31,6 @@
 	 * above are the fencing token under which the attempt was made. Tasks that are placed
 	 * together may share the number. */
 	uint64_t attempt;
-	/* A heartbeat that does not list the task proves the end of the binding only if the agent
-	 * has shown this fencing token or a newer one. */
-	uint64_t min_token;
 	/* The agent's incarnation when the start was last sent; 0: no start was sent since this
 	 * term began or the agent was restarted. */
 	uint64_t start_incarnation;
--- a/src/core/model/machine.c
+++ b/src/core/model/machine.c
@@ -156,6 +156,7 @@
 	return machine->type && machine->agent.incarnation && machine->agent.reachable &&
 	       !machine->cloud.draining && !machine->cloud.deleting && !machine->cloud.failed &&
 	       machine->agent.notice_s < 0 && is_recent(core, machine->agent.last_report_at) &&
+	       machine->agent.unbound_task_count < MACHINE_UNBOUND_TASKS_MAX &&
 	       core->now >= machine->scheduling.backoff_until;
 }
 
--- a/src/core/model/machine.h
+++ b/src/core/model/machine.h
@@ -93,10 +93,6 @@
 /* The direct messages to the machine's agent: commands that are not sent with the answer to a
  * heartbeat, see agents/direct_commands.h. */
 struct machine_commands {
-	/* Fencing token of the newest direct message that contained a start and was not answered;
-	 * 0: there is no such message. The start may still take effect until the agent has shown a
-	 * newer token. */
-	uint64_t unanswered_token;
 	int in_flight; /* number of direct messages that wait for their answer */
 	/* A direct message is to be sent even without commands: the agent may still report to an
 	 * earlier leader, and the fencing token in the message makes the agent report to this
@@ -211,8 +207,8 @@
 bool machine_is_leaving(const struct machine *machine);
 /*
  * True if tasks may be placed on the machine now: its type is known, its agent reports and is
- * reachable, and the machine has not failed, is neither drained nor being deleted, and has no
- * preemption notice or backoff.
+ * reachable and does not list too many ended tasks, and the machine has not failed, is neither
+ * drained nor being deleted, and has no preemption notice or backoff.
  */
 bool machine_is_usable(const struct core *core, const struct machine *machine);
 /* True if the job allows machines of this type and zone, spot or not. Sizes are not compared. */
--- a/src/core/runtime/call.h
+++ b/src/core/runtime/call.h
@@ -51,7 +51,6 @@
 	/* Calls to agents: incarnation and sequence of the agent's newest message when the call
 	 * was made. */
 	uint64_t incarnation, sequence;
-	bool has_start; /* direct commands: at least one is a start */
 	uint64_t token; /* calls to agents: the fencing token under which the call was made */
 	/* For on_answer: the key that was read, or the id of the machine. */
 	char key[CONF_NAME_MAX + ID_MAX];
--- a/tests/runner/expectations.c
+++ b/tests/runner/expectations.c
@@ -144,6 +144,12 @@
 	return (double)world->standin.state_service.leader_key_writes;
 }
 
+static double leader_claims(struct world *world, const char *argument)
+{
+	(void)argument;
+	return (double)world->standin.state_service.leader_claims;
+}
+
 /* A counter of the state service. The argument is puts, toolarge or requests; anything else stands
  * for the refused requests. */
 static double state_service_count(struct world *world, const char *argument)
@@ -236,6 +242,7 @@
     {"share_switches", share_switches},
     {"answers", client_answers},
     {"leader_key_writes", leader_key_writes},
+    {"leader_claims", leader_claims},
     {"state", state_service_count},
     {"keys", keys_with_prefix},
     {"machine_requests", machine_requests},
--- a/tests/standins/state_service.h
+++ b/tests/standins/state_service.h
@@ -87,8 +87,10 @@
 	uint64_t requests_over_limit; /* requests beyond the rates */
 	/* Transactions that are invalid whatever the guards: too large, or of an unknown lease. */
 	uint64_t invalid_transactions;
-	/* Transactions that wrote the leader's key, see writes_leader_key. */
-	uint64_t leader_key_writes;
+	/* Transactions that wrote the leader's key, see leader_key_change, and those of them that
+	 * claimed it. */
+	uint64_t leader_key_writes, leader_claims;
+	uint64_t claim_lease; /* the lease under which the leader's key was last claimed */
 };
 
 /*
--- a/tests/standins/state_transactions.c
+++ b/tests/standins/state_transactions.c
@@ -92,12 +92,12 @@
 /* --- changes --- */
 
 /*
- * True if the transaction writes the leader's key: a controller becomes leader, or renews its
- * token. The transaction that raises the version of the records' format does not count.
+ * The write of the leader's key in a transaction: a controller becomes leader, or renews its token.
+ * NULL: there is none, or the transaction raises the version of the records' format.
  */
-static bool writes_leader_key(const json_t *changes)
+static const json_t *leader_key_change(const json_t *changes)
 {
-	bool writes_key = false, raises_format = false;
+	const json_t *found = NULL;
 	json_t *change;
 	size_t i;
 
@@ -107,10 +107,23 @@
 
 		if (!name || strncmp(name, LEADER_KEY, strlen(LEADER_KEY)))
 			continue;
-		writes_key = true;
-		raises_format |= json_object_get(value, FORMAT_FIELD) != NULL;
+		if (json_object_get(value, FORMAT_FIELD))
+			return NULL;
+		found = change;
 	}
-	return writes_key && !raises_format;
+	return found;
+}
+
+/* Counts a write of the leader's key. It is a claim if it is under another lease than the write
+ * before: a leader renews its token under the lease of its claim. */
+static void count_leader_key_write(struct standin_state_service *state_service,
+				   const json_t *change)
+{
+	uint64_t lease = (uint64_t)json_integer_value(json_object_get(change, W_LEASE));
+
+	state_service->leader_key_writes++;
+	state_service->leader_claims += lease != state_service->claim_lease;
+	state_service->claim_lease = lease;
 }
 
 static void apply_change(struct standin_state_service *state_service, const json_t *change)
@@ -129,12 +142,14 @@
 /* Applies all changes in one new revision. */
 static void apply_changes(struct standin_state_service *state_service, const json_t *changes)
 {
+	const json_t *leader_change = leader_key_change(changes);
 	json_t *change;
 	size_t i;
 
 	if (json_array_size(changes))
 		state_service->revision++;
-	state_service->leader_key_writes += writes_leader_key(changes);
+	if (leader_change)
+		count_leader_key_write(state_service, leader_change);
 	json_array_foreach (changes, i, change)
 		apply_change(state_service, change);
 }
