Ended tasks that wait for a new token can't make a report too long

Need: since an attempt is forgotten only under a newer token, ended tasks stay in the reports for some seconds longer. A report over 64 KiB is refused, and that ends the machine's lease with all its tasks.

Change: from MACHINE_UNBOUND_TASKS_MANY (64) tasks on, no task is placed on the machine that would make its report list more than MACHINE_LISTED_TASKS_MAX (560 of at most 107 bytes); it replaces the limit in machine_is_usable, which counted ended tasks only and released reservations. Forgets are added to a message last: before, 300 of them filled it, and starts and stops that did not fit were recorded as sent and came later.

--- a/src/constants.h
+++ b/src/constants.h
@@ -293,11 +293,12 @@
 /* Delay before a new fencing token is requested so that agents may forget ended tasks: one token
  * serves all tasks that end in this time. */
 #define FORGET_TOKEN_DELAY_REPORTS 1.5
-/* Ended tasks that a machine reports from which the token is requested at once. */
+/* Ended tasks that a machine reports from which the token is requested at once: with fewer, a
+ * report takes one packet or a few. */
 #define MACHINE_UNBOUND_TASKS_MANY 64
-/* Ended tasks that a machine reports from which it gets no new tasks: its report must stay below
- * HTTP_BODY_MAX, and a task takes some 100 bytes. */
-#define MACHINE_UNBOUND_TASKS_MAX 256
+/* Tasks that a machine with many ended ones reports at most, before it gets further tasks: its
+ * report must stay below HTTP_BODY_MAX, and a task takes up to 107 bytes. */
+#define MACHINE_LISTED_TASKS_MAX 560
 /* Interval between inventories of the cloud's machines: what an inventory shows is older than this
  * interval. */
 #define INVENTORY_INTERVAL_S 3.0
--- a/src/core/agents/commands.c
+++ b/src/core/agents/commands.c
@@ -116,33 +116,51 @@
 static void request_token_to_forget(struct core *core, const struct machine *machine,
 				    const struct unbound_task *unbound)
 {
-	bool many = machine->agent.unbound_task_count >= MACHINE_UNBOUND_TASKS_MANY;
+	bool many = machine_has_many_unbound_tasks(machine);
 	double delay_s = many ? 0 : FORGET_TOKEN_DELAY_REPORTS * core->conf->report_s;
 
 	if (sent_starts_need_new_token(core, &unbound->starts))
 		write_queue_request_token(core, delay_s);
 }
 
-/* Adds the command that is due for a task that is reported but not bound. */
-static void add_unbound_task_command(struct core *core, const struct machine *machine,
-				     const struct unbound_task *unbound, struct command_list *list)
+/* Adds the stops of tasks that are reported but not bound. */
+static void add_unbound_stops(const struct machine *machine, struct command_list *list)
 {
-	if (!unbound->ended)
-		add_command(list, OP_STOP, unbound->job, unbound->task, unbound->attempt);
-	else if (may_forget(core, machine, unbound))
-		add_command(list, OP_FORGET, unbound->job, unbound->task, unbound->attempt);
-	else
-		request_token_to_forget(core, machine, unbound);
+	for (size_t i = 0; i < machine->agent.unbound_task_count; i++) {
+		const struct unbound_task *unbound = &machine->agent.unbound_tasks[i];
+
+		if (!unbound->ended)
+			add_command(list, OP_STOP, unbound->job, unbound->task, unbound->attempt);
+	}
 }
 
+/* Adds the forgets of ended tasks, or requests the token that they need. */
+static void add_forgets(struct core *core, const struct machine *machine, struct command_list *list)
+{
+	for (size_t i = 0; i < machine->agent.unbound_task_count; i++) {
+		const struct unbound_task *unbound = &machine->agent.unbound_tasks[i];
+
+		if (!unbound->ended)
+			continue;
+		if (may_forget(core, machine, unbound))
+			add_command(list, OP_FORGET, unbound->job, unbound->task, unbound->attempt);
+		else
+			request_token_to_forget(core, machine, unbound);
+	}
+}
+
+/*
+ * Unbound tasks are stopped first, since they use capacity that the starts need. Forgets come last:
+ * nothing waits for them, and many of them must not displace starts and stops.
+ */
 void commands_collect(struct core *core, struct machine *machine, enum command_channel channel,
 		      struct command_list *list)
 {
 	struct binding *binding;
 
 	list->count = 0;
-	for (size_t i = 0; i < machine->agent.unbound_task_count; i++)
-		add_unbound_task_command(core, machine, &machine->agent.unbound_tasks[i], list);
+	add_unbound_stops(machine, list);
 	DL_FOREACH2 (machine->bindings, binding, machine_next)
 		add_binding_command(core, binding, channel, list);
+	add_forgets(core, machine, list);
 }
--- a/src/core/agents/reconciliation.c
+++ b/src/core/agents/reconciliation.c
@@ -152,6 +152,10 @@
 	agent->unbound_task_count = 0;
 	for (size_t i = 0; i < report->task_count; i++)
 		reconcile_listed_task(core, machine, &report->tasks[i], &previous);
+	/* The machine may get more tasks now, see machine_listable_tasks. */
+	if (previous.count >= MACHINE_UNBOUND_TASKS_MANY &&
+	    agent->unbound_task_count < previous.count)
+		core->events->placement_needed(core);
 	free(previous.tasks);
 }
 
--- a/src/core/model/machine.c
+++ b/src/core/model/machine.c
@@ -156,10 +156,24 @@
 	return machine->type && machine->agent.incarnation && machine->agent.reachable &&
 	       !machine->cloud.draining && !machine->cloud.deleting && !machine->cloud.failed &&
 	       machine->agent.notice_s < 0 && is_recent(core, machine->agent.last_report_at) &&
-	       machine->agent.unbound_task_count < MACHINE_UNBOUND_TASKS_MAX &&
 	       core->now >= machine->scheduling.backoff_until;
 }
 
+bool machine_has_many_unbound_tasks(const struct machine *machine)
+{
+	return machine->agent.unbound_task_count >= MACHINE_UNBOUND_TASKS_MANY;
+}
+
+uint32_t machine_listable_tasks(const struct machine *machine)
+{
+	size_t listed = machine->agent.unbound_task_count + (size_t)machine->binding_count;
+
+	if (!machine_has_many_unbound_tasks(machine))
+		return JOB_TASKS_MAX;
+	return listed < MACHINE_LISTED_TASKS_MAX ? (uint32_t)(MACHINE_LISTED_TASKS_MAX - listed)
+						 : 0;
+}
+
 bool machine_type_allowed(const struct machine_type *type, const char *zone, bool spot,
 			  const struct job_spec *spec)
 {
--- a/src/core/model/machine.h
+++ b/src/core/model/machine.h
@@ -207,10 +207,15 @@
 bool machine_is_leaving(const struct machine *machine);
 /*
  * True if tasks may be placed on the machine now: its type is known, its agent reports and is
- * reachable and does not list too many ended tasks, and the machine has not failed, is neither
- * drained nor being deleted, and has no preemption notice or backoff.
+ * reachable, and the machine has not failed, is neither drained nor being deleted, and has no
+ * preemption notice or backoff.
  */
 bool machine_is_usable(const struct core *core, const struct machine *machine);
+/* True if the machine's agent lists MACHINE_UNBOUND_TASKS_MANY tasks or more that are not bound. */
+bool machine_has_many_unbound_tasks(const struct machine *machine);
+/* The number of further tasks that may be bound to the machine so that its report does not grow
+ * beyond what is accepted, because of ended tasks that the agent may not forget yet. */
+uint32_t machine_listable_tasks(const struct machine *machine);
 /* True if the job allows machines of this type and zone, spot or not. Sizes are not compared. */
 bool machine_type_allowed(const struct machine_type *type, const char *zone, bool spot,
 			  const struct job_spec *spec);
--- a/src/core/scheduling/placement.c
+++ b/src/core/scheduling/placement.c
@@ -16,13 +16,16 @@
 {
 	const struct machine *machine = room->machine;
 	struct free_room unreserved = room->free;
+	uint32_t slots, listable;
 
 	if (!free_room_fits(&room->free, &job->spec))
 		return 0;
 	if (machine_is_reserved_for_other(machine, job))
 		free_room_subtract(&unreserved, &machine->scheduling.reserved_for->spec,
 				   machine->scheduling.reserved_tasks);
-	return free_room_slots(&unreserved, &job->spec);
+	slots = free_room_slots(&unreserved, &job->spec);
+	listable = machine_listable_tasks(machine);
+	return slots < listable ? slots : listable;
 }
 
 struct machine *find_machine(struct scheduling_cycle *cycle, const struct job *job,
--- a/tests/runner/delivery.c
+++ b/tests/runner/delivery.c
@@ -183,6 +183,8 @@
 
 	report->report_number = world->standin.machines[machine].sequence;
 	report->body = xstrdup(body);
+	if (strlen(body) > world->longest_report)
+		world->longest_report = strlen(body);
 	send_duplicates(world, machine, body);
 }
 
--- a/tests/runner/expectations.c
+++ b/tests/runner/expectations.c
@@ -144,6 +144,13 @@
 	return (double)world->standin.state_service.leader_key_writes;
 }
 
+/* Bytes of the longest report that a machine has sent. */
+static double longest_report(struct world *world, const char *argument)
+{
+	(void)argument;
+	return (double)world->longest_report;
+}
+
 static double leader_claims(struct world *world, const char *argument)
 {
 	(void)argument;
@@ -243,6 +250,7 @@
     {"answers", client_answers},
     {"leader_key_writes", leader_key_writes},
     {"leader_claims", leader_claims},
+    {"longest_report", longest_report},
     {"state", state_service_count},
     {"keys", keys_with_prefix},
     {"machine_requests", machine_requests},
--- a/tests/runner/world.h
+++ b/tests/runner/world.h
@@ -154,6 +154,7 @@
 	int answer_counts[STATUS_COUNT]; /* answers to clients, by status */
 	int cancel_at_end; /* number of the job to cancel when its last task ends; 0: none */
 
+	size_t longest_report; /* bytes, of the reports that machines have sent */
 	double state_outage_until_s;
 	double faults_end_s; /* when the last fault so far ends, for the checker of the rules */
 	struct election_crash election_crash;
