Tasks whose start is withheld from a machine to be deleted run elsewhere

What callers saw: tasks wait for as long as the cloud does not carry out a deletion, though other machines have room.

Cause: two places asked whether a binding was stopped, and took any other one for a binding whose start is still to be sent: end_unsent_bindings, and the absence of a task from a heartbeat.

Why it works: binding_start_is_revoked (stopped, or on a machine to be deleted) is asked in both places. The proofs are the same as for a stopped binding: the start was never sent, or a heartbeat lacks the task and no message with the start can take effect.

--- a/src/core/agents/direct_commands.c
+++ b/src/core/agents/direct_commands.c
@@ -56,16 +56,16 @@
 }
 
 /*
- * Ends the bindings that were stopped before their start was sent. No agent will ever list such a
- * task, so no report could prove its end, and the binding would keep its resources reserved for the
- * rest of the term.
+ * Ends the bindings whose start was not sent and is not to be sent any more. No agent will ever
+ * list such a task, so no report could prove its end, and the binding would keep its resources
+ * reserved until its machine is deleted or the term ends.
  */
 static void end_unsent_bindings(struct core *core, struct machine *machine)
 {
 	struct binding *binding = machine->bindings;
 
 	while (binding) {
-		if (binding->stopping && binding_start_never_sent(binding)) {
+		if (binding_start_is_revoked(binding) && binding_start_never_sent(binding)) {
 			binding_end(core, binding, END_STOPPED);
 			/* binding_end has ended no other binding. But the end of a gang's task
 			 * requests stops of the gang's other tasks, so that bindings earlier in the
--- a/src/core/agents/machine_health.c
+++ b/src/core/agents/machine_health.c
@@ -78,7 +78,9 @@
 		 machine->id, machine->cloud.failed, machine->cloud.missed_inventories, age_s,
 		 machine->binding_count);
 	machine->cloud.deleting = true;
-	/* The cloud's answer to the delete proves that the machine's tasks have ended. */
+	/* The cloud's answer to the delete proves that the machine's tasks have ended. Bindings
+	 * whose start was not sent yet end without it. */
+	commands_request(core, machine);
 	core->events->machine_given_up(core);
 }
 
--- a/src/core/agents/reconciliation.c
+++ b/src/core/agents/reconciliation.c
@@ -177,7 +177,7 @@
  */
 static bool absence_ends_binding(const struct binding *binding)
 {
-	return binding->recovered || binding->observed || binding->stopping;
+	return binding->recovered || binding->observed || binding_start_is_revoked(binding);
 }
 
 /* Handles a binding that is to end and whose task the heartbeat does not list. */
