The report cache recognises a report under a newer token

Need: agents forget ended tasks only under a newer token, so the leader renews it every few seconds while tasks end. Each renewal changes the token in every report, and the cache, which knew a report by all of its bytes but the sequence number, missed it and had it parsed again.

Change: the text is split at two numbers, the sequence number and the token, in either order; both are taken from the report that comes.

--- a/src/core/agents/report_cache.h
+++ b/src/core/agents/report_cache.h
@@ -1,7 +1,7 @@
 /*
  * Cache of decoded agent reports. Most reports equal the previous report of their machine in all
- * but the sequence number. Such a report is found in the cache by its bytes and is not parsed
- * again.
+ * but the sequence number and the fencing token. Such a report is found in the cache by its bytes
+ * and is not parsed again.
  */
 #ifndef PLOVERLOFT_REPORT_CACHE_H
 #define PLOVERLOFT_REPORT_CACHE_H
@@ -19,8 +19,9 @@
 };
 
 /*
- * Returns the cached report that equals the one in `body` in all but the sequence number, with the
- * sequence number from `body`. Returns NULL if there is no such report. The cache keeps ownership.
+ * Returns the cached report that equals the one in `body` in all but the sequence number and the
+ * fencing token, with these numbers from `body`. Returns NULL if there is no such report. The cache
+ * keeps ownership.
  */
 const struct report *report_cache_find(struct report_cache *cache, const char *body, size_t len);
 
