A machine that was given up is kept if it is back before its deletion can be carried out

What callers saw: while the cloud refuses requests, machines that were silent for some seconds are back with their tasks, but get no more work, are replaced, and are deleted when the cloud serves again.

Cause: machine_give_up sets deleting, and only the cloud's answer to the delete ended that state.

Why it works: the decision is taken back only if a heartbeat was applied since, our messages reach the agent, no inventory calls the machine failed, and no request to delete it can still be carried out: none was sent, or the cloud refused them all (429, 503). A request without an answer may be late, so the machine then stays on its way out. The proofs that end bindings do not depend on the decision.

--- a/src/core/agents/machine_health.c
+++ b/src/core/agents/machine_health.c
@@ -78,12 +78,36 @@
 		 machine->id, machine->cloud.failed, machine->cloud.missed_inventories, age_s,
 		 machine->binding_count);
 	machine->cloud.deleting = true;
+	machine->cloud.given_up_at = core->now;
 	/* The cloud's answer to the delete proves that the machine's tasks have ended. Bindings
 	 * whose start was not sent yet end without it. */
 	commands_request(core, machine);
 	core->events->machine_given_up(core);
 }
 
+/*
+ * True if a machine that was given up is back, and no request to delete it can still be carried
+ * out: none was sent, or the cloud has refused them all.
+ */
+static bool is_back_in_time(const struct machine *machine)
+{
+	const struct machine_cloud *cloud = &machine->cloud;
+
+	if (!cloud->given_up_at || cloud->failed || cloud->deleted || cloud->delete_in_flight ||
+	    cloud->delete_may_be_late)
+		return false;
+	return machine->agent.reachable && machine->agent.last_heartbeat_at > cloud->given_up_at;
+}
+
+static void keep_machine(struct core *core, struct machine *machine)
+{
+	log_info("machine_kept", "machine=%s after=%.1f", machine->id,
+		 core->now - machine->cloud.given_up_at);
+	machine->cloud.deleting = false;
+	machine->cloud.given_up_at = 0;
+	core->events->placement_needed(core);
+}
+
 static void check_machine(struct core *core, struct machine *machine)
 {
 	/*
@@ -92,8 +116,11 @@
 	 */
 	if (machine->scheduling.reserved_for && !machine_is_usable(core, machine))
 		machine->scheduling.reserved_for = NULL;
-	if (machine->cloud.deleting)
+	if (machine->cloud.deleting) {
+		if (is_back_in_time(machine))
+			keep_machine(core, machine);
 		return;
+	}
 	if (machine->cloud.failed || is_absent_from_cloud(core, machine) ||
 	    lease_has_expired(core, machine)) {
 		machine_give_up(core, machine);
--- a/src/core/autoscale/scale_in.c
+++ b/src/core/autoscale/scale_in.c
@@ -123,6 +123,12 @@
 	machine_handle_deleted(core, machine);
 }
 
+/* True if the answer says that the cloud has not carried out the request. */
+static bool is_refusal(const struct call_answer *answer)
+{
+	return answer->status == STATUS_UNAVAILABLE || answer->status == STATUS_TOO_MANY_REQUESTS;
+}
+
 /* After an answer other than a success, the deletes are due again. */
 static void apply_delete_answer(struct core *core, const struct delete_batch *batch,
 				const struct call_answer *answer)
@@ -134,6 +140,7 @@
 		if (!machine)
 			continue;
 		machine->cloud.delete_in_flight = false;
+		machine->cloud.delete_may_be_late |= !is_refusal(answer);
 		if (answer->status == STATUS_OK)
 			on_machine_deleted(core, machine);
 	}
--- a/src/core/model/machine.h
+++ b/src/core/model/machine.h
@@ -122,7 +122,12 @@
 	bool draining; /* the machine gets no new tasks, and is deleted once it has no bindings */
 	/* The machine is to be deleted: no task is placed or started on it any more. */
 	bool deleting;
+	/* Steady seconds; when the machine was given up, which is why it is to be deleted; 0: it
+	 * was not given up. */
+	double given_up_at;
 	bool delete_in_flight; /* the request to delete the machine is not answered yet */
+	/* A request to delete the machine was sent and not refused: it may still be carried out. */
+	bool delete_may_be_late;
 	bool deleted;	       /* the cloud has answered 200 to the request to delete the machine */
 };
 
