Every answer that renews a lease stops the listed tasks that are to end

Evidence: scenario cancel_restarted_outage: a job is cancelled, its agent is restarted, the state service and the cloud are out for a minute, and a repeat of the old start reaches the agent, which has lost its token. Without commands_collect_stops the task runs on for more than cancel_s (ran_cancelled).

Change: the answer to a report of a known machine that is not applied stops the tasks in it that are not bound or are to be stopped. If the report is a late copy, no agent gets the answer; if it is not, these tasks are to end whatever the report's age. Nothing is recorded as sent, so copies delay no stop. binding_find moved to the bindings, since both files need it.

--- a/src/core/agents/commands.c
+++ b/src/core/agents/commands.c
@@ -164,3 +164,26 @@
 		add_binding_command(core, binding, channel, list);
 	add_forgets(core, machine, list);
 }
+
+/* Adds the stop of a task that a report lists, if the task is not bound or is to be stopped. */
+static void add_listed_stop(const struct machine *machine, const struct report_task *listed,
+			    struct command_list *list)
+{
+	const struct binding *binding =
+	    binding_find(machine, listed->job, listed->task, listed->attempt);
+	struct command *command;
+
+	if (listed->state == TASK_EXITED || (binding && !binding->stopping))
+		return;
+	command = add_command(list, OP_STOP, listed->job, listed->task, listed->attempt);
+	if (command && binding)
+		command->grace_s = binding->grace_s;
+}
+
+void commands_collect_stops(const struct machine *machine, const struct report *report,
+			    struct command_list *list)
+{
+	list->count = 0;
+	for (size_t i = 0; i < report->task_count; i++)
+		add_listed_stop(machine, &report->tasks[i], list);
+}
--- a/src/core/agents/commands.h
+++ b/src/core/agents/commands.h
@@ -8,6 +8,7 @@
 #include <stdbool.h>
 
 #include "core/model/machine.h"
+#include "wire/report_codec.h"
 
 /* How commands are sent to an agent. */
 enum command_channel {
@@ -28,5 +29,13 @@
  */
 void commands_collect(struct core *core, struct machine *machine, enum command_channel channel,
 		      struct command_list *list);
+/*
+ * Fills *list with stops of the tasks that the report lists and that are to end, at most
+ * COMMANDS_MAX. For the answer to a report that is not applied: if its agent sent it now, the
+ * answer renews the lease of the tasks, and if it is a late copy, no agent gets the answer. Nothing
+ * is recorded as sent.
+ */
+void commands_collect_stops(const struct machine *machine, const struct report *report,
+			    struct command_list *list);
 
 #endif
--- a/src/core/agents/heartbeats.c
+++ b/src/core/agents/heartbeats.c
@@ -54,27 +54,35 @@
 	return machine_find_or_add(core, report->machine);
 }
 
-/*
- * Returns the machine if the report was applied, so that the answer may contain commands. Returns
- * NULL if the report is stale or not newer than the machine's newest message.
+/* Applies the report. Returns false if it is stale or not newer than the machine's newest message.
  */
-static struct machine *apply_heartbeat(struct core *core, const struct report *report)
+static bool apply_heartbeat(struct core *core, struct machine *machine, const struct report *report)
 {
-	struct machine *machine = reporting_machine(core, report);
-
-	if (!machine)
-		return NULL;
 	machine_set_identity(core, machine, report->addr, report->type, report->zone, report->spot);
 	machine->agent.last_report_at = core->now;
 	if (!report_is_current(core, machine, report)) {
 		handle_stale_report(core, machine, report);
-		return NULL;
+		return false;
 	}
 	if (report_apply(core, machine, report, REPORT_HEARTBEAT))
-		return machine;
+		return true;
 	if (machine_heartbeat_overdue(core, machine))
 		probe_machine(core, machine);
-	return NULL;
+	return false;
+}
+
+/* Applies the report, if it may be applied, and fills *list with the commands for the answer. */
+static void handle_report(struct core *core, const struct report *report, struct command_list *list)
+{
+	struct machine *machine = reporting_machine(core, report);
+
+	list->count = 0;
+	if (!machine)
+		return;
+	if (apply_heartbeat(core, machine, report))
+		commands_collect(core, machine, CHANNEL_HEARTBEAT, list);
+	else
+		commands_collect_stops(machine, report, list);
 }
 
 /*
@@ -101,15 +109,11 @@
 static bool answer_report(struct core *core, uint64_t connection, const struct report *report)
 {
 	struct command_list list;
-	struct machine *machine;
 	char *body;
 
 	if (!check_report_token(core, connection, report))
 		return false;
-	list.count = 0;
-	machine = apply_heartbeat(core, report);
-	if (machine)
-		commands_collect(core, machine, CHANNEL_HEARTBEAT, &list);
+	handle_report(core, report, &list);
 	body = wire_heartbeat_answer(election_token(core), list.items, list.count);
 	core_reply(core, connection, STATUS_OK, 0, body);
 	return true;
--- a/src/core/agents/reconciliation.c
+++ b/src/core/agents/reconciliation.c
@@ -10,17 +10,6 @@
 
 /* --- tasks that the report lists --- */
 
-static struct binding *binding_find(struct machine *machine, const struct report_task *listed)
-{
-	struct binding *binding;
-
-	DL_FOREACH2 (machine->bindings, binding, machine_next)
-		if (binding->task == listed->task && binding->attempt == listed->attempt &&
-		    !strcmp(binding->job->spec.id, listed->job))
-			return binding;
-	return NULL;
-}
-
 static void record_first_run(struct core *core, struct binding *binding)
 {
 	binding->running_since = core->now;
@@ -129,7 +118,7 @@
 				  const struct report_task *listed,
 				  struct previous_unbound *previous)
 {
-	struct binding *binding = binding_find(machine, listed);
+	struct binding *binding = binding_find(machine, listed->job, listed->task, listed->attempt);
 
 	if (!binding)
 		reconcile_unbound_task(core, machine, listed, previous);
--- a/src/core/model/binding.c
+++ b/src/core/model/binding.c
@@ -2,6 +2,7 @@
 
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 
 #include "core/state.h"
 #include "util/log.h"
@@ -26,6 +27,18 @@
 	return binding;
 }
 
+struct binding *binding_find(const struct machine *machine, const char *job, uint32_t task,
+			     uint64_t attempt)
+{
+	struct binding *binding;
+
+	DL_FOREACH2 (machine->bindings, binding, machine_next)
+		if (binding->task == task && binding->attempt == attempt &&
+		    !strcmp(binding->job->spec.id, job))
+			return binding;
+	return NULL;
+}
+
 bool binding_start_never_sent(const struct binding *binding)
 {
 	return !binding->recovered && !binding->start_incarnation &&
--- a/src/core/model/binding.h
+++ b/src/core/model/binding.h
@@ -71,6 +71,9 @@
  */
 struct binding *binding_add(struct core *core, struct machine *machine, struct job *job,
 			    uint32_t task, uint64_t attempt);
+/* The machine's binding of this attempt of a task; NULL if there is none. */
+struct binding *binding_find(const struct machine *machine, const char *job, uint32_t task,
+			     uint64_t attempt);
 /*
  * Requests that the task is stopped, with `grace_s` seconds to save its work. An earlier request is
  * replaced only if its grace period was longer.
--- a/src/core/model/machine.h
+++ b/src/core/model/machine.h
@@ -128,7 +128,7 @@
 	bool delete_in_flight; /* the request to delete the machine is not answered yet */
 	/* A request to delete the machine was sent and not refused: it may still be carried out. */
 	bool delete_may_be_late;
-	bool deleted;	       /* the cloud has answered 200 to the request to delete the machine */
+	bool deleted; /* the cloud has answered 200 to the request to delete the machine */
 };
 
 /*
