--- a/tests/runner/faults.c
+++ b/tests/runner/faults.c
@@ -144,10 +144,12 @@
 	world->network_faults.lost = line_number(line, 1);
 }
 
-/* repeat P: this share of requests is carried out twice */
+/* repeat P after=S: this share of requests is carried out twice, the second time up to about S
+ * seconds later */
 static void set_request_repetition(struct world *world, const struct scenario_line *line)
 {
 	world->network_faults.repeated = line_number(line, 1);
+	world->network_faults.repeat_range_s = line_option_number(line, "after", 0);
 }
 
 /* slow_store P: this share of the state service's replies arrives late */
--- a/tests/runner/outbox.c
+++ b/tests/runner/outbox.c
@@ -11,7 +11,7 @@
 #include "wire/names.h"
 
 #define REQUEST_COPIES 2	    /* a request and its repetition */
-#define REPEAT_DELAY_S 1.5	    /* time until a repeated request is carried out again */
+#define REPEAT_DELAY_S 1.5	    /* least time until a repeated request is carried out again */
 #define LATE_TRANSACTION_MIN_S 2    /* least delay of a late transaction */
 #define LATE_TRANSACTION_RANGE_S 10 /* longest additional delay */
 
@@ -112,6 +112,8 @@
 
 		if (copy && world_random(world) >= world->network_faults.repeated)
 			break;
+		if (copy && world->network_faults.repeat_range_s > 0)
+			due_at_s += world->network_faults.repeat_range_s * world_random(world);
 		if (late)
 			due_at_s = arrival_s + LATE_TRANSACTION_MIN_S +
 				   LATE_TRANSACTION_RANGE_S * world_random(world);
--- a/tests/runner/setup.c
+++ b/tests/runner/setup.c
@@ -18,6 +18,16 @@
 	world->controller_count = line_integer(line, 1);
 }
 
+/* simulation_seed N: the seed of the simulation's random numbers, which decide on latencies and
+ * random faults */
+static void set_simulation_seed(struct world *world, const struct scenario_line *line)
+{
+	uint64_t seed = strtoull(line_word(line, 1), NULL, 10);
+
+	for (size_t i = 0; i < 3; i++)
+		world->random_state[i] = (unsigned short)(seed >> (16 * i));
+}
+
 /* seed N: the seed of the controllers' random numbers */
 static void set_seed(struct world *world, const struct scenario_line *line)
 {
@@ -184,6 +194,7 @@
 const struct scenario_keyword setup_keywords[] = {
     {"nodes", 1, set_controller_count},
     {"seed", 1, set_seed},
+    {"simulation_seed", 1, set_simulation_seed},
     {"settings", 0, change_settings},
     {"limits", 0, change_limits},
     {"hold_format", 1, keep_previous_format},
--- a/tests/runner/world.h
+++ b/tests/runner/world.h
@@ -93,6 +93,7 @@
 struct network_faults {
 	double lost;		   /* messages that do not arrive */
 	double repeated;	   /* requests that are carried out twice */
+	double repeat_range_s;	   /* seconds by which the repetition may exceed its least delay */
 	double slow_state_replies; /* replies of the state service that arrive late */
 	double late_transactions;  /* transactions that get no reply and are carried out late */
 	double duplicate_reports;  /* reports of which a controller also gets a late copy */
