tests/runner: the faults of the network have a file of their own

The handlers of lost, cut, held, late and repeated messages move to network_faults.c with their own table of keywords; nothing else changes.

--- a/tests/runner/scenario.c
+++ b/tests/runner/scenario.c
@@ -58,10 +58,17 @@
 	return NULL;
 }
 
+static const struct scenario_keyword *find_fault_keyword(const char *name)
+{
+	const struct scenario_keyword *keyword = find_in_table(fault_keywords, name);
+
+	return keyword ? keyword : find_in_table(network_fault_keywords, name);
+}
+
 static void run_line(struct world *world, const struct scenario_line *line)
 {
 	const char *name = line_word(line, 0);
-	const struct scenario_keyword *fault = find_in_table(fault_keywords, name);
+	const struct scenario_keyword *fault = find_fault_keyword(name);
 	const struct scenario_keyword *keyword = fault ? fault : find_non_fault_keyword(name);
 
 	if (!keyword) {
