Loopback tests listen on ports below those of outgoing connections

Cause: the test asked the system for a free port, which the system takes from the range of outgoing connections. While a controller is down, the port is free again, and another process's connection can get it: connections beside it opens 4,000.

Change: ports are taken from 10000 to 32399, each test's from another block, and only if they are free.

The failure was not reproduced.

--- a/tests/loopback/loopback.c
+++ b/tests/loopback/loopback.c
@@ -18,7 +18,9 @@
 #define HANDLE_SERVER_SHIFT 48
 #define HANDLE_CONNECTION_MASK 0xffffffffffffull
 
-#define PORTS_MAX 64 /* ports that one test may use */
+#define PORT_FIRST 10000
+#define PORT_COUNT 22400  /* up to below the ports of outgoing connections */
+#define PORTS_PER_TEST 64 /* between the first ports of two tests with successive process ids */
 #define SERVER_CONNECTIONS 500
 #define ITERATION_WAIT_S 0.005 /* time that one event-loop iteration waits for messages */
 
@@ -27,42 +29,34 @@
 
 /* --- addresses --- */
 
-/* Returns a port that was free a moment ago. */
-static int free_port(void)
+static bool port_is_free(int port)
 {
-	struct sockaddr_in address = {.sin_family = AF_INET};
-	socklen_t length = sizeof(address);
+	struct sockaddr_in address = {.sin_family = AF_INET, .sin_port = htons((uint16_t)port)};
 	int fd = socket(AF_INET, SOCK_STREAM, 0);
+	bool is_free;
 
 	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-	if (bind(fd, (struct sockaddr *)&address, sizeof(address)) ||
-	    getsockname(fd, (struct sockaddr *)&address, &length))
-		abort();
-	close(fd);
-	return ntohs(address.sin_port);
-}
-
-static bool is_listed(const int *ports, int count, int port)
-{
-	for (int i = 0; i < count; i++)
-		if (ports[i] == port)
-			return true;
-	return false;
+	is_free = fd >= 0 && !bind(fd, (struct sockaddr *)&address, sizeof(address));
+	if (fd >= 0)
+		close(fd);
+	return is_free;
 }
 
 /*
  * Writes an address on the loopback interface with a port that this test has not used before. The
- * system may assign a port again as soon as it is closed; two servers would then get the same
- * address.
+ * ports are below those that the system gives to outgoing connections, so that none is taken while
+ * its controller is down, and tests that run side by side begin at different ports.
  */
 static void new_address(char address[CONF_NAME_MAX])
 {
-	static int used[PORTS_MAX], used_count;
-	int port = free_port();
+	static int offset = -1;
+	int port;
 
-	while (is_listed(used, used_count, port))
-		port = free_port();
-	used[used_count++] = port;
+	if (offset < 0)
+		offset = getpid() % (PORT_COUNT / PORTS_PER_TEST) * PORTS_PER_TEST;
+	do
+		port = PORT_FIRST + offset++ % PORT_COUNT;
+	while (!port_is_free(port));
 	snprintf(address, CONF_NAME_MAX, "127.0.0.1:%d", port);
 }
 
