A higher token in a report ends the term even while a renewal has no answer

Need: a leader that is cut off from the state service steps down at the first report with a newer token, but not while it renewed its own token.

Why it works: check_report_token makes no exception any more. An agent learns tokens only from the controller that holds them, and the token that is being asked for is not known to any controller yet, so a higher token can only be that of a later claim.

--- a/src/core/agents/heartbeats.c
+++ b/src/core/agents/heartbeats.c
@@ -87,15 +87,14 @@
 
 /*
  * Returns false, and has refused the report, if the token of the report is higher than this
- * controller's: then another controller leads. While this controller renews its own token, the
- * answer to the write of the renewal says who leads, so this controller does not step down here.
+ * controller's: then another controller leads. That holds even while a renewal of our own token has
+ * no answer: no agent can have seen the new token, since this controller does not know it yet.
  */
 static bool check_report_token(struct core *core, uint64_t connection, const struct report *report)
 {
 	if (report->token <= election_token(core))
 		return true;
-	if (!election_is_renewing_token(core))
-		election_step_down(core, STEP_DOWN_HIGHER_TOKEN_SEEN);
+	election_step_down(core, STEP_DOWN_HIGHER_TOKEN_SEEN);
 	/*
 	 * The report is refused with 503. If it were answered 200, the agent would keep sending its
 	 * reports to this controller, though the agent ignores answers with a token lower than its
