A new token for an absent task waits for its own start only

Need: a binding that is to end and whose task no report lists may need a new token. It was not requested while any direct message to the machine had no answer. On a machine that is sent messages all the time over a slow network that wait has no bound.

Change: the request waits for COMMAND_RESEND_S after the binding's own start was last sent, within which a report may still list the task.

No scenario shows the unbounded wait; it was found by reading.

--- a/src/core/agents/reconciliation.c
+++ b/src/core/agents/reconciliation.c
@@ -169,14 +169,19 @@
 	return binding->recovered || binding->observed || binding_start_is_revoked(binding);
 }
 
+/* True if the start was sent so recently that a report may list the task soon. */
+static bool start_may_be_answered(const struct core *core, const struct binding *binding)
+{
+	return core->now - binding->start_sent_at <= COMMAND_RESEND_S;
+}
+
 /* Handles a binding that is to end and whose task the heartbeat does not list. */
 static void reconcile_absent_task(struct core *core, struct binding *binding)
 {
-	const struct machine *machine = binding->machine;
-
-	if (sent_starts_are_void(&binding->starts, &machine->agent))
+	if (sent_starts_are_void(&binding->starts, &binding->machine->agent))
 		binding_end(core, binding, END_NONE);
-	else if (!machine->commands.in_flight && sent_starts_need_new_token(core, &binding->starts))
+	else if (!start_may_be_answered(core, binding) &&
+		 sent_starts_need_new_token(core, &binding->starts))
 		write_queue_request_token(core, 0);
 }
 
