--- a/src/constants.h
+++ b/src/constants.h
@@ -288,7 +288,7 @@
 /* Commands in one message to an agent: the message is one line, which is limited to 64 KiB. */
 #define COMMANDS_MAX 300
 /* Least interval between two renewals of the fencing token that parts of the leader request. Most
- * renewals are requested because an agent has not answered commands. */
+ * renewals are requested so that agents may forget ended tasks. */
 #define TOKEN_RENEW_INTERVAL_S 2.0
 /* Delay before a new fencing token is requested so that agents may forget ended tasks: one token
  * serves all tasks that end in this time. */
