Preemption for a spread service frees capacity in each zone that it needs

What callers saw: a production service that is spread over zones got half of its replicas at once and the rest only when new machines had booted, though the fleet was full of work of lower priority in all zones.

Cause: preempt_on_candidates reserves the cheapest candidates whatever their zones. If the cheapest tasks are all in one zone, all capacity is freed there, and only half of the replicas may use it. Services were served all the same only when the cheapest tasks happened to lie in both zones; service_preempts passed by that.

Change: for a job that is spread, candidates are taken zone by zone, in each as many as the job's rules allow there.

Evidence: service_preempts_zones, in which the tasks of one zone are younger and so cheaper, fails before ("running 3 is 2, expected == 4") and passes with the change.

--- a/src/core/scheduling/cycle.c
+++ b/src/core/scheduling/cycle.c
@@ -131,6 +131,14 @@
 		close_room(cycle, machine->scheduling.room_index);
 }
 
+bool zone_is_in_earlier_pool(const struct scheduling_cycle *cycle, size_t pool)
+{
+	for (size_t i = 0; i < pool; i++)
+		if (!strcmp(cycle->pools[i].zone, cycle->pools[pool].zone))
+			return true;
+	return false;
+}
+
 static bool pool_allows(const struct pool *pool, const struct job_spec *spec)
 {
 	const struct machine_type *type = pool->type;
--- a/src/core/scheduling/cycle.h
+++ b/src/core/scheduling/cycle.h
@@ -83,6 +83,8 @@
  * to the machine, or a replica is about to move there. */
 void cycle_subtract_demand(struct scheduling_cycle *cycle, const struct machine *machine,
 			   const struct job_spec *spec);
+/* Whether a pool with a lower index than `pool` is in the zone of `pool`. */
+bool zone_is_in_earlier_pool(const struct scheduling_cycle *cycle, size_t pool);
 /* Sets the fields `allowed` and `cost_s` of all pools for the job. */
 void cycle_evaluate_pools(struct scheduling_cycle *cycle, const struct job_spec *spec);
 
--- a/src/core/scheduling/gang_placement.c
+++ b/src/core/scheduling/gang_placement.c
@@ -44,15 +44,6 @@
 	candidates_sort_by_cost(cycle);
 }
 
-/* Whether a pool with a lower index than `pool` is in the zone of `pool`. */
-static bool zone_is_in_earlier_pool(const struct scheduling_cycle *cycle, size_t pool)
-{
-	for (size_t i = 0; i < pool; i++)
-		if (!strcmp(cycle->pools[i].zone, cycle->pools[pool].zone))
-			return true;
-	return false;
-}
-
 /* Whether all tasks of the gang fit if each zone gets no more of them than the gang's rules allow:
  * for a spread gang, half of them. */
 static bool spread_fits(const struct scheduling_cycle *cycle, const struct job *job)
--- a/src/core/scheduling/preemption.c
+++ b/src/core/scheduling/preemption.c
@@ -118,13 +118,12 @@
 	}
 }
 
-/* Reserves capacity on the cheapest candidates of the zone (NULL: of all zones), and stops the
- * tasks that use it. */
-static void preempt_on_candidates(const struct scheduling_cycle *cycle,
-				  const struct preemption_demand *demand, const char *zone)
+/* Reserves capacity for so many tasks on the cheapest candidates of the zone (NULL: of all zones),
+ * and stops the tasks that use it. Returns the number of tasks for which it found none. */
+static uint32_t preempt_on_candidates(const struct scheduling_cycle *cycle,
+				      const struct preemption_demand *demand, const char *zone,
+				      uint32_t tasks_left)
 {
-	uint32_t tasks_left = demand->tasks;
-
 	for (size_t i = 0; i < cycle->candidate_count && tasks_left; i++) {
 		const struct candidate *candidate = &cycle->candidates[i];
 		struct machine *machine = candidate->room->machine;
@@ -136,6 +135,23 @@
 		tasks_left -= tasks;
 		stop_victims(demand, machine, tasks);
 	}
+	return tasks_left;
+}
+
+/* As preempt_on_candidates, for a job whose rules allow only some of its tasks in each zone. */
+static void preempt_in_each_zone(const struct scheduling_cycle *cycle,
+				 const struct preemption_demand *demand)
+{
+	uint32_t tasks_left = demand->tasks;
+
+	for (size_t i = 0; i < cycle->pool_count && tasks_left; i++) {
+		const char *zone = cycle->pools[i].zone;
+		uint32_t allowed = job_zone_tasks_allowed(demand->job, zone);
+		uint32_t tasks = allowed < tasks_left ? allowed : tasks_left;
+
+		if (!zone_is_in_earlier_pool(cycle, i))
+			tasks_left -= tasks - preempt_on_candidates(cycle, demand, zone, tasks);
+	}
 }
 
 /* Frees capacity for all tasks of the demand. If not all of them would fit, stops no task and
@@ -149,7 +165,10 @@
 	choice = candidates_choose_zone(cycle, &job->spec, demand->tasks, COST_RULE_SUM);
 	if (!isfinite(choice.cost))
 		return false;
-	preempt_on_candidates(cycle, demand, choice.zone);
+	if (job->spec.spread)
+		preempt_in_each_zone(cycle, demand);
+	else
+		preempt_on_candidates(cycle, demand, choice.zone, demand->tasks);
 	job->scheduling.reserved_until = cycle->core->now + PREEMPT_RESERVE_S;
 	log_info("reservation_preempting", "job=%s tasks=%u zone=%s cost=%.0f waited=%.1f",
 		 job->spec.id, demand->tasks, choice.zone ? choice.zone : "", choice.cost,
