--- a/daemon/controller.c
+++ b/daemon/controller.c
@@ -53,6 +53,13 @@
 	core_answer(controller->core, current_time(), &answer);
 }
 
+static void handle_closed(void *context, uint64_t connection)
+{
+	struct controller *controller = context;
+
+	core_connection_closed(controller->core, current_time(), connection);
+}
+
 /* Carries out one action of the core. */
 static void perform_action(struct controller *controller, const struct core_action *action)
 {
@@ -113,8 +120,8 @@
  * logged. */
 static struct net *open_network(const struct conf *conf, struct controller *controller)
 {
-	static const struct net_callbacks callbacks = {.request = handle_request,
-						       .reply = handle_reply};
+	static const struct net_callbacks callbacks = {
+	    .request = handle_request, .reply = handle_reply, .closed = handle_closed};
 	/* If the process may open fewer files than the settings allow, the limit on connections is
 	 * lower and idle connections are closed sooner. */
 	int connections_max = open_files_raise(conf->max_connections) - NET_FILES_RESERVED;
--- a/src/constants.h
+++ b/src/constants.h
@@ -10,7 +10,7 @@
 #ifndef PLOVERLOFT_CONSTANTS_H
 #define PLOVERLOFT_CONSTANTS_H
 
-#define PLOVERLOFT_VERSION "0.6.3"
+#define PLOVERLOFT_VERSION "0.6.4"
 
 /* --- network and event loop --- */
 
@@ -283,18 +283,28 @@
 #define MACHINE_FAILED_JOBS_MAX 2
 /* Images remembered per machine, as a guess at what its cache holds. */
 #define MACHINE_IMAGES_MAX 8
-/* Delay before a direct start or stop that no report shows yet is sent directly again. */
+/* Delay before a direct stop that no report shows yet is sent directly again. */
 #define COMMAND_RESEND_S 1.5
 /* Commands in one message to an agent: the message is one line, which is limited to 64 KiB. */
 #define COMMANDS_MAX 300
-/* Least interval between two renewals of the fencing token that parts of the leader request. Most
- * renewals are requested so that agents may forget ended tasks. */
+/* Longest time for which the answer to a heartbeat waits for a start: an agent gives up after
+ * 4 s. */
+#define LONG_POLL_MAX_S 2.5
+/* Longest time for which the answer to a heartbeat waits, in report intervals: the next heartbeat
+ * comes only after it. */
+#define LONG_POLL_MAX_REPORTS 1.0
+/* Expected delay of a replica's start from which its agent is made to report at once. */
+#define URGENT_START_DELAY_S 0.5
+/* Time after an agent has shown a newer token in which a further one does not make it report. */
+#define TOKEN_REPORT_LEASES 0.5
+/* Share of the sockets that answers to heartbeats may hold while they wait. */
+#define LONG_POLL_CONNS_SHARE 0.5
+/* Different demands of tasks that are remembered to guess what a machine is needed for. */
+#define TASK_DEMANDS_MAX 32
+/* Least interval between two renewals of the fencing token that parts of the leader request. */
 #define TOKEN_RENEW_INTERVAL_S 2.0
-/* Delay before a new fencing token is requested so that agents may forget ended tasks: one token
- * serves all tasks that end in this time. */
-#define FORGET_TOKEN_DELAY_REPORTS 1.5
-/* Ended tasks that a machine reports from which the token is requested at once: with fewer, a
- * report takes one packet or a few. */
+/* Ended tasks that a machine reports from which the number of further tasks is bounded: with fewer,
+ * a report takes one packet or a few. */
 #define MACHINE_UNBOUND_TASKS_MANY 64
 /* Tasks that a machine with many ended ones reports at most, before it gets further tasks: its
  * report must stay below HTTP_BODY_MAX, and a task takes up to 107 bytes. */
--- a/src/core/agents/agent_restart.c
+++ b/src/core/agents/agent_restart.c
@@ -1,5 +1,6 @@
 #include "core/agents/agent_restart.h"
 
+#include "core/agents/long_poll.h"
 #include "core/agents/reconciliation.h"
 #include "core/state.h"
 #include "util/log.h"
@@ -16,6 +17,7 @@
 	log_info("machine_restarted", "machine=%s incarnation=%llu sequence=%llu bound=%d",
 		 machine->id, (unsigned long long)machine->agent.incarnation,
 		 (unsigned long long)machine->agent.sequence, machine->binding_count);
+	long_poll_end(core, machine);
 	machine->agent.restarted = true;
 	machine->agent.reachable = false;
 	machine->agent.unreachable_since = core->now;
@@ -33,6 +35,7 @@
 	agent->sequence = 0;
 	agent->heartbeat_sequence = 0;
 	agent->token = 0;
+	agent->token_shown_at = -1;
 	agent->last_message_at = -1;
 	agent->last_heartbeat_at = -1;
 	agent->last_report_at = -1;
@@ -46,12 +49,12 @@
  * been started. A report under the new token that does not list the task proves that the task has
  * ended.
  */
-static void reset_binding(const struct core *core, struct binding *binding)
+static void reset_binding(struct binding *binding)
 {
 	binding->recovered = true;
 	binding->observed = false;
 	binding->start_incarnation = 0;
-	binding->starts = sent_starts_before(election_token(core));
+	binding->start_sequence = 0;
 	binding->listed_sequence = 0;
 }
 
@@ -61,14 +64,17 @@
 
 	reset_agent(core, machine);
 	DL_FOREACH2 (machine->bindings, binding, machine_next)
-		reset_binding(core, binding);
+		reset_binding(binding);
 }
 
 void agents_on_token_renewed(struct core *core)
 {
 	struct machine *machine, *next;
 
-	MACHINES_FOR_EACH (core, machine, next)
+	MACHINES_FOR_EACH (core, machine, next) {
 		if (machine->agent.restarted)
 			restart_incarnation(core, machine);
+		if (machine->commands.awaits_token)
+			commands_request(core, machine);
+	}
 }
--- a/src/core/agents/agents.h
+++ b/src/core/agents/agents.h
@@ -12,6 +12,9 @@
 	struct report_cache report_cache;
 	/* machines to which direct commands are to be sent, longest waiting first */
 	struct machine *command_queue;
+	/* machines with a heartbeat whose answer waits, the longest waiting first, and the same
+	 * machines as a hash table by connection; see long_poll.h */
+	struct machine *long_polls, *long_polls_by_connection;
 	/* limits the rate of all probes but those of replica supervision */
 	struct rate_limiter probe_limiter;
 	/* number of unanswered calls to agents (direct commands and probes), each of which holds a
--- a/src/core/agents/commands.c
+++ b/src/core/agents/commands.c
@@ -46,27 +46,22 @@
 }
 
 /*
- * A command that was sent directly may have been carried out before any report shows it, so the
- * command is not sent directly again within COMMAND_RESEND_S.
+ * A stop that was sent directly may have been carried out before any report shows it, so the stop
+ * is not sent directly again within COMMAND_RESEND_S.
  */
-static bool may_send(const struct core *core, enum command_channel channel, double sent_at)
+static bool may_send_stop(const struct core *core, enum command_channel channel, double sent_at)
 {
 	return channel == CHANNEL_HEARTBEAT || sent_at <= 0 ||
 	       core->now - sent_at > COMMAND_RESEND_S;
 }
 
-static void add_start(struct core *core, struct binding *binding, enum command_channel channel,
-		      struct command_list *list)
+static void add_start(struct binding *binding, struct command_list *list)
 {
 	const struct machine_agent *agent = &binding->machine->agent;
 
 	add_command(list, OP_START, binding->job->spec.id, binding->task, binding->attempt);
-	binding->start_sent_at = core->now;
 	binding->start_incarnation = agent->incarnation;
-	if (channel == CHANNEL_HEARTBEAT)
-		binding->starts.heartbeat_sequence = agent->heartbeat_sequence;
-	else
-		binding->starts.direct_token = election_token(core);
+	binding->start_sequence = agent->heartbeat_sequence;
 }
 
 /*
@@ -87,9 +82,9 @@
 static void add_binding_command(struct core *core, struct binding *binding,
 				enum command_channel channel, struct command_list *list)
 {
-	if (may_start(binding) && may_send(core, channel, binding->start_sent_at))
-		add_start(core, binding, channel, list);
-	else if (may_stop(binding) && may_send(core, channel, binding->stop_sent_at))
+	if (channel == CHANNEL_HEARTBEAT && may_start(binding))
+		add_start(binding, list);
+	else if (may_stop(binding) && may_send_stop(core, channel, binding->stop_sent_at))
 		add_stop(core, binding, list);
 }
 
@@ -103,26 +98,12 @@
 {
 	const struct job *job = job_find(core, unbound->job);
 
-	if (!sent_starts_are_void(&unbound->starts, &machine->agent))
+	if (!machine_start_is_void(machine, unbound->start_sequence))
 		return false;
 	return !job || unbound->task >= job->spec.task_count ||
 	       write_queue_is_flushed(job, unbound->task);
 }
 
-/*
- * Requests a new token if only that allows the agent to forget the task. One token serves all ended
- * tasks of all machines, so it is not requested at once unless the machine's reports grow long.
- */
-static void request_token_to_forget(struct core *core, const struct machine *machine,
-				    const struct unbound_task *unbound)
-{
-	bool many = machine_has_many_unbound_tasks(machine);
-	double delay_s = many ? 0 : FORGET_TOKEN_DELAY_REPORTS * core->conf->report_s;
-
-	if (sent_starts_need_new_token(core, &unbound->starts))
-		write_queue_request_token(core, delay_s);
-}
-
 /* Adds the stops of tasks that are reported but not bound. */
 static void add_unbound_stops(const struct machine *machine, struct command_list *list)
 {
@@ -134,18 +115,14 @@
 	}
 }
 
-/* Adds the forgets of ended tasks, or requests the token that they need. */
+/* Adds the forgets of ended tasks. */
 static void add_forgets(struct core *core, const struct machine *machine, struct command_list *list)
 {
 	for (size_t i = 0; i < machine->agent.unbound_task_count; i++) {
 		const struct unbound_task *unbound = &machine->agent.unbound_tasks[i];
 
-		if (!unbound->ended)
-			continue;
-		if (may_forget(core, machine, unbound))
+		if (unbound->ended && may_forget(core, machine, unbound))
 			add_command(list, OP_FORGET, unbound->job, unbound->task, unbound->attempt);
-		else
-			request_token_to_forget(core, machine, unbound);
 	}
 }
 
@@ -153,6 +130,17 @@
  * Unbound tasks are stopped first, since they use capacity that the starts need. Forgets come last:
  * nothing waits for them, and many of them must not displace starts and stops.
  */
+bool commands_start_is_due(const struct machine *machine)
+{
+	const struct binding *binding;
+
+	DL_FOREACH2 (machine->bindings, binding, machine_next)
+		if (may_start(binding) &&
+		    binding->start_sequence != machine->agent.heartbeat_sequence)
+			return true;
+	return false;
+}
+
 void commands_collect(struct core *core, struct machine *machine, enum command_channel channel,
 		      struct command_list *list)
 {
--- a/src/core/agents/commands.h
+++ b/src/core/agents/commands.h
@@ -29,6 +29,9 @@
  */
 void commands_collect(struct core *core, struct machine *machine, enum command_channel channel,
 		      struct command_list *list);
+/* True if a start is to be sent that the answer to the machine's newest heartbeat has not carried.
+ */
+bool commands_start_is_due(const struct machine *machine);
 /*
  * Fills *list with stops of the tasks that the report lists and that are to end, at most
  * COMMANDS_MAX. For the answer to a report that is not applied: if its agent sent it now, the
--- a/src/core/agents/direct_commands.c
+++ b/src/core/agents/direct_commands.c
@@ -4,6 +4,7 @@
 
 #include "core/agents/agent_calls.h"
 #include "core/agents/commands.h"
+#include "core/agents/long_poll.h"
 #include "core/agents/reports.h"
 #include "core/state.h"
 #include "util/log.h"
@@ -30,6 +31,7 @@
 	machine->commands.due = true;
 	if (!machine->commands.in_flight)
 		command_queue_add(core, machine);
+	long_poll_check_starts(core, machine);
 }
 
 void commands_cancel_request(struct core *core, struct machine *machine)
@@ -77,6 +79,38 @@
 	}
 }
 
+/*
+ * True if the agent would report at once if it saw a newer token: that counts as a change only once
+ * in half a lease.
+ */
+static bool token_would_cause_report(const struct core *core, const struct machine *machine)
+{
+	return core->now - machine->agent.token_shown_at >
+	       TOKEN_REPORT_LEASES * core->conf->lease_s;
+}
+
+/*
+ * True if the agent is to report at once, so that it gets a start of a replica: the users of a
+ * service notice each second without it. All other starts go with the next heartbeat.
+ */
+static bool heartbeat_is_urgent(const struct core *core, const struct machine *machine)
+{
+	return machine->replica_count && commands_start_is_due(machine) &&
+	       long_poll_start_delay_s(core, machine) > URGENT_START_DELAY_S &&
+	       machine_is_usable(core, machine) && token_would_cause_report(core, machine);
+}
+
+/* Makes the agent report by a token that it has not seen, which is requested if there is none. */
+static void request_heartbeat(struct core *core, struct machine *machine)
+{
+	if (machine->agent.token < election_token(core)) {
+		machine->commands.announce_token = true;
+		return;
+	}
+	machine->commands.awaits_token = true;
+	write_queue_request_token(core, 0);
+}
+
 static void send_commands(struct core *core, struct machine *machine)
 {
 	struct command_list list;
@@ -107,6 +141,9 @@
 	while ((machine = core->agents.command_queue) && !agent_call_limit_reached(core)) {
 		commands_cancel_request(core, machine);
 		end_unsent_bindings(core, machine);
+		machine->commands.awaits_token = false;
+		if (heartbeat_is_urgent(core, machine))
+			request_heartbeat(core, machine);
 		if (can_receive_commands(core, machine))
 			send_commands(core, machine);
 	}
--- a/src/core/agents/heartbeats.c
+++ b/src/core/agents/heartbeats.c
@@ -3,21 +3,13 @@
 #include <string.h>
 
 #include "core/agents/commands.h"
+#include "core/agents/long_poll.h"
 #include "core/agents/probes.h"
 #include "core/agents/reachability.h"
+#include "core/agents/redirect.h"
 #include "core/agents/reports.h"
 #include "core/state.h"
 
-/* Redirects the agent to the leader, if the leader's key names another controller. */
-static void reply_misdirected(struct core *core, uint64_t connection)
-{
-	const char *leader = election_leader(core);
-
-	if (!strcmp(leader, core->conf->name))
-		leader = "";
-	core_reply(core, connection, STATUS_MISDIRECTED, 0, wire_redirect_answer(leader));
-}
-
 /*
  * Decides whether to probe an agent whose report is stale (see reports.h). An agent that was just
  * started or restarted has seen no token and is probed at once. Any other agent shows the current
@@ -71,18 +63,38 @@
 	return false;
 }
 
-/* Applies the report, if it may be applied, and fills *list with the commands for the answer. */
-static void handle_report(struct core *core, const struct report *report, struct command_list *list)
+/*
+ * Fills *list with the commands for the answer to a report that was applied. Returns false if the
+ * answer waits for starts instead.
+ */
+static bool collect_or_wait(struct core *core, struct machine *machine, uint64_t connection,
+			    struct command_list *list)
+{
+	/* The agent does not wait for the answer to an earlier heartbeat any more. */
+	long_poll_end(core, machine);
+	commands_collect(core, machine, CHANNEL_HEARTBEAT, list);
+	if (list->count || !long_poll_is_useful(core, machine))
+		return true;
+	long_poll_begin(core, machine, connection);
+	return false;
+}
+
+/*
+ * Applies the report, if it may be applied, and fills *list with the commands for the answer.
+ * Returns false if the report is to be answered later.
+ */
+static bool handle_report(struct core *core, uint64_t connection, const struct report *report,
+			  struct command_list *list)
 {
 	struct machine *machine = reporting_machine(core, report);
 
 	list->count = 0;
 	if (!machine)
-		return;
+		return true;
 	if (apply_heartbeat(core, machine, report))
-		commands_collect(core, machine, CHANNEL_HEARTBEAT, list);
-	else
-		commands_collect_stops(machine, report, list);
+		return collect_or_wait(core, machine, connection, list);
+	commands_collect_stops(machine, report, list);
+	return true;
 }
 
 /*
@@ -112,7 +124,8 @@
 
 	if (!check_report_token(core, connection, report))
 		return false;
-	handle_report(core, report, &list);
+	if (!handle_report(core, connection, report, &list))
+		return true;
 	body = wire_heartbeat_answer(election_token(core), list.items, list.count);
 	core_reply(core, connection, STATUS_OK, 0, body);
 	return true;
--- a/src/core/agents/machine_health.c
+++ b/src/core/agents/machine_health.c
@@ -3,6 +3,7 @@
 #include <math.h>
 #include <string.h>
 
+#include "core/agents/long_poll.h"
 #include "core/agents/probes.h"
 #include "core/state.h"
 #include "util/log.h"
@@ -68,6 +69,13 @@
 		probe_machine(core, machine);
 }
 
+/* The agent gets no start any more, so the answer to its heartbeat need not wait for one. */
+void machine_begin_deletion(struct core *core, struct machine *machine)
+{
+	machine->cloud.deleting = true;
+	long_poll_end(core, machine);
+}
+
 void machine_give_up(struct core *core, struct machine *machine)
 {
 	double age_s =
@@ -77,7 +85,7 @@
 		 "machine=%s failed=%d missed_inventories=%d last_message_age=%.1f bound=%d",
 		 machine->id, machine->cloud.failed, machine->cloud.missed_inventories, age_s,
 		 machine->binding_count);
-	machine->cloud.deleting = true;
+	machine_begin_deletion(core, machine);
 	machine->cloud.given_up_at = core->now;
 	/* The cloud's answer to the delete proves that the machine's tasks have ended. Bindings
 	 * whose start was not sent yet end without it. */
@@ -130,7 +138,7 @@
 		probe_unseen_machine(core, machine);
 	if (is_unreachable_too_long(core, machine)) {
 		log_info("machine_unreachable_deleted", "machine=%s", machine->id);
-		machine->cloud.deleting = true;
+		machine_begin_deletion(core, machine);
 	}
 }
 
--- a/src/core/agents/machine_health.h
+++ b/src/core/agents/machine_health.h
@@ -18,6 +18,8 @@
 	int buckets[CONTACT_BUCKETS];
 };
 
+/* Decides that the machine is to be deleted: no task is placed or started on it any more. */
+void machine_begin_deletion(struct core *core, struct machine *machine);
 /* Gives up a machine that has failed: marks the machine as being deleted and has it deleted at
  * once. */
 void machine_give_up(struct core *core, struct machine *machine);
--- a/src/core/agents/reachability.c
+++ b/src/core/agents/reachability.c
@@ -35,7 +35,7 @@
  */
 static bool start_ignored(const struct machine *machine, const struct binding *binding)
 {
-	return binding->starts.heartbeat_sequence && !binding->observed &&
+	return binding->start_sequence && !binding->observed &&
 	       binding->listed_sequence != machine->agent.sequence;
 }
 
--- a/src/core/agents/reconciliation.c
+++ b/src/core/agents/reconciliation.c
@@ -94,7 +94,7 @@
 {
 	struct machine *machine = binding->machine;
 
-	add_unbound_task(machine, listed)->starts = binding->starts;
+	add_unbound_task(machine, listed)->start_sequence = binding->start_sequence;
 	if (listed->end_reason == END_DONE)
 		machine_mark_image_used(machine, binding->job->spec.image);
 	binding_end(core, binding, listed->end_reason);
@@ -108,8 +108,8 @@
 	const struct unbound_task *known = previous_unbound_find(previous, listed);
 	struct unbound_task *unbound = add_unbound_task(machine, listed);
 
-	/* What is not known may have been sent under any token up to the present one. */
-	unbound->starts = known ? known->starts : sent_starts_before(election_token(core) + 1);
+	/* The start of an attempt that is not known was sent by an earlier leader. */
+	unbound->start_sequence = known ? known->start_sequence : 0;
 	if (listed->state == TASK_EXITED && listed->end_reason == END_DONE)
 		job_handle_unbound_task_done(core, listed->job, listed->task);
 }
@@ -169,20 +169,14 @@
 	return binding->recovered || binding->observed || binding_start_is_revoked(binding);
 }
 
-/* True if the start was sent so recently that a report may list the task soon. */
-static bool start_may_be_answered(const struct core *core, const struct binding *binding)
-{
-	return core->now - binding->start_sent_at <= COMMAND_RESEND_S;
-}
-
-/* Handles a binding that is to end and whose task the heartbeat does not list. */
-static void reconcile_absent_task(struct core *core, struct binding *binding)
+/* True if a report of this origin, which does not list the binding's task, proves the task's end.
+ */
+static bool absence_proves_end(const struct binding *binding, enum report_origin origin)
 {
-	if (sent_starts_are_void(&binding->starts, &binding->machine->agent))
-		binding_end(core, binding, END_NONE);
-	else if (!start_may_be_answered(core, binding) &&
-		 sent_starts_need_new_token(core, &binding->starts))
-		write_queue_request_token(core, 0);
+	if (incarnation_has_ended(binding->machine, binding))
+		return true;
+	return origin == REPORT_HEARTBEAT && absence_ends_binding(binding) &&
+	       machine_start_is_void(binding->machine, binding->start_sequence);
 }
 
 /* Ends a binding whose task the report does not list, if the report proves its end. */
@@ -191,10 +185,8 @@
 {
 	if (!binding->committed || binding_start_never_sent(binding))
 		return;
-	if (incarnation_has_ended(binding->machine, binding))
+	if (absence_proves_end(binding, origin))
 		binding_end(core, binding, END_NONE);
-	else if (origin == REPORT_HEARTBEAT && absence_ends_binding(binding))
-		reconcile_absent_task(core, binding);
 }
 
 /*
--- a/src/core/agents/reconciliation.h
+++ b/src/core/agents/reconciliation.h
@@ -5,7 +5,7 @@
  * - It lists the task as ended.
  * - The agent's incarnation is newer than the incarnation that was sent the start.
  * - It is a heartbeat that does not list the task, and no message that carried the start can take
- *   effect any more (sent_starts.h).
+ *   effect any more (machine_start_is_void).
  */
 #ifndef PLOVERLOFT_RECONCILIATION_H
 #define PLOVERLOFT_RECONCILIATION_H
--- a/src/core/agents/reports.c
+++ b/src/core/agents/reports.c
@@ -49,8 +49,10 @@
 
 	agent->incarnation = report->incarnation;
 	agent->sequence = report->sequence;
-	if (report->token > agent->token)
+	if (report->token > agent->token) {
 		agent->token = report->token;
+		agent->token_shown_at = core->now;
+	}
 	agent->last_message_at = core->now;
 	machine->probes.unanswered = 0;
 	if (origin != REPORT_HEARTBEAT)
--- a/src/core/autoscale/scale_in.c
+++ b/src/core/autoscale/scale_in.c
@@ -99,7 +99,7 @@
 			continue;
 		log_info("scale_in", "machine=%s type=%s idle=%.1f", machine->id,
 			 machine->type_name, core->now - machine->cloud.idle_since);
-		machine->cloud.deleting = true;
+		machine_begin_deletion(core, machine);
 	}
 }
 
--- a/src/core/core.c
+++ b/src/core/core.c
@@ -66,6 +66,7 @@
 
 static void on_machine_removed(struct core *core, struct machine *machine)
 {
+	long_poll_end(core, machine);
 	replica_supervision_remove(core, machine);
 	report_cache_remove(&core->agents.report_cache, &machine->agent.cached_report);
 }
@@ -192,6 +193,12 @@
 		core_tick(core, now);
 }
 
+void core_connection_closed(struct core *core, struct core_time now, uint64_t connection)
+{
+	set_time(core, now);
+	long_poll_connection_closed(core, connection);
+}
+
 static void leader_tick(struct core *core)
 {
 	jobs_watch_tick(core);
@@ -202,6 +209,7 @@
 	autoscale_tick(core);
 	share_switching_tick(core);
 	write_queue_tick(core);
+	long_poll_tick(core);
 	direct_commands_tick(core);
 }
 
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -82,6 +82,8 @@
 void core_request(struct core *core, struct core_time now, const struct core_request *request);
 /* Handles the end of a call. The end is ignored if no call with its id is in flight. */
 void core_answer(struct core *core, struct core_time now, const struct core_answer *answer);
+/* Handles that a caller has closed a connection whose request is not answered yet. */
+void core_connection_closed(struct core *core, struct core_time now, uint64_t connection);
 /* Does the periodic work that is due at the given time. */
 void core_tick(struct core *core, struct core_time now);
 /* The steady time by which core_tick should be called next. */
--- a/src/core/model/binding.c
+++ b/src/core/model/binding.c
@@ -17,7 +17,6 @@
 	binding->job = job;
 	binding->task = task;
 	binding->attempt = attempt;
-	binding->starts = sent_starts_before(election_token(core));
 	DL_APPEND2(job->bindings, binding, job_prev, job_next);
 	machine_add_binding(core, binding);
 	job_mark_task_bound(job, task);
@@ -41,8 +40,7 @@
 
 bool binding_start_never_sent(const struct binding *binding)
 {
-	return !binding->recovered && !binding->start_incarnation &&
-	       !binding->starts.heartbeat_sequence;
+	return !binding->recovered && !binding->start_sequence;
 }
 
 bool binding_start_is_revoked(const struct binding *binding)
--- a/src/core/model/binding.h
+++ b/src/core/model/binding.h
@@ -15,7 +15,6 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-#include "core/model/sent_starts.h"
 #include "wire/wire.h"
 
 struct core;
@@ -34,11 +33,12 @@
 	/* The agent's incarnation when the start was last sent; 0: no start was sent since this
 	 * term began or the agent was restarted. */
 	uint64_t start_incarnation;
-	struct sent_starts starts; /* the messages that carried the start */
+	/* The sequence number of the heartbeat whose answer last carried the start; 0: no answer
+	 * has carried it since this term began or the agent was restarted. */
+	uint64_t start_sequence;
 	/* The sequence number of the newest report that lists the task; 0: no report has listed the
 	 * task since this term began or the agent was restarted. */
 	uint64_t listed_sequence;
-	double start_sent_at; /* when the command to start the task was last sent; 0: never */
 	/* When a stop command with the present `grace_s` was last sent; 0: never. */
 	double stop_sent_at;
 	double grace_s;	      /* seconds that the task has to save its work when stopped */
--- a/src/core/model/job.c
+++ b/src/core/model/job.c
@@ -31,6 +31,7 @@
 	    election_format(core) >= FORMAT_SMALL_CHUNKS ? SMALL_CHUNK_TASKS : LARGE_CHUNK_TASKS;
 	job->records.chunks = xcalloc(job_chunk_count(job), sizeof(*job->records.chunks));
 	job->scheduling.waiting_since = core->now;
+	recent_demand_add(core, spec);
 	HASH_ADD_STR(core->jobs, spec.id, job);
 	return job;
 }
--- a/src/core/model/machine.c
+++ b/src/core/model/machine.c
@@ -30,7 +30,8 @@
 	machine = xcalloc(1, sizeof(*machine));
 	snprintf(machine->id, sizeof(machine->id), "%s", id);
 	machine->agent.last_heartbeat_at = machine->agent.last_message_at =
-	    machine->agent.last_report_at = machine->agent.notice_s = -1;
+	    machine->agent.last_report_at = machine->agent.notice_s =
+		machine->agent.token_shown_at = -1;
 	machine->probes.sent_at = core->now - PROBE_INTERVAL_S;
 	machine->agent.reachable = true;
 	machine->cloud.rented_at = machine->cloud.idle_since = core->now;
@@ -159,6 +160,17 @@
 	       core->now >= machine->scheduling.backoff_until;
 }
 
+/*
+ * Starts are sent in answers to heartbeats only. An agent sends one heartbeat at a time and drops
+ * the answers to earlier ones. The first heartbeat that is applied in a term, or after a known
+ * restart of the agent, shows a token that makes the agent reject all messages of earlier leaders,
+ * the direct ones with starts of versions before 0.6.4 included.
+ */
+bool machine_start_is_void(const struct machine *machine, uint64_t start_sequence)
+{
+	return machine->agent.heartbeat_sequence > start_sequence;
+}
+
 bool machine_has_many_unbound_tasks(const struct machine *machine)
 {
 	return machine->agent.unbound_task_count >= MACHINE_UNBOUND_TASKS_MANY;
--- a/src/core/model/machine.h
+++ b/src/core/model/machine.h
@@ -11,7 +11,6 @@
 #include <uthash.h>
 
 #include "constants.h"
-#include "core/model/sent_starts.h"
 #include "wire/wire.h"
 
 struct binding;
@@ -23,9 +22,9 @@
  * stop it, or to forget it if it has ended. */
 struct unbound_task {
 	char job[ID_MAX];
-	uint32_t task;		   /* index of the task in the job */
-	uint64_t attempt;	   /* number of the attempt, see `attempt` in struct binding */
-	struct sent_starts starts; /* the messages that carried the start */
+	uint32_t task;		 /* index of the task in the job */
+	uint64_t attempt;	 /* number of the attempt, see `attempt` in struct binding */
+	uint64_t start_sequence; /* see `start_sequence` in struct binding */
 	bool ended; /* the attempt has exited, and the agent may be told to forget it */
 };
 
@@ -44,6 +43,9 @@
 	/* Sequence number of the newest heartbeat that was applied; 0: as for `incarnation`. */
 	uint64_t heartbeat_sequence;
 	uint64_t token; /* newest fencing token that the agent has shown */
+	/* When a message first showed `token`; negative: no message was applied in this term, or
+	 * since the agent's restart. */
+	double token_shown_at;
 	/* Heartbeats with a lower fencing token may be copies from before the agent's restart, and
 	 * are stale (see reports.h); 0: the agent was not restarted in this term. */
 	uint64_t min_token;
@@ -94,15 +96,25 @@
  * heartbeat, see agents/direct_commands.h. */
 struct machine_commands {
 	int in_flight; /* number of direct messages that wait for their answer */
-	/* A direct message is to be sent even without commands: the agent may still report to an
-	 * earlier leader, and the fencing token in the message makes the agent report to this
-	 * controller. */
+	/* A direct message is to be sent even without commands, for its fencing token: the token
+	 * makes an agent that may still report to an earlier leader report to this controller, and
+	 * any agent that has not seen the token report at once. */
 	bool announce_token;
+	/* A start is due, and a new fencing token is requested so that the agent reports at once.
+	 */
+	bool awaits_token;
 	bool due;    /* commands may have become due since the last direct message was sent */
 	bool queued; /* the machine is in agents.command_queue */
 	struct machine *queue_prev, *queue_next; /* links of agents.command_queue */
 };
 
+/* The answer to the machine's newest heartbeat, if the answer waits, see agents/long_poll.h. */
+struct machine_long_poll {
+	uint64_t connection;	     /* of the heartbeat; 0: no answer waits */
+	double until;		     /* steady seconds; the answer waits no longer than that */
+	struct machine *prev, *next; /* links of agents.long_polls */
+};
+
 /* What the cloud says of the machine, and what the leader has decided about keeping it. */
 struct machine_cloud {
 	bool listed; /* an inventory of the cloud has named the machine */
@@ -176,9 +188,11 @@
 	struct machine_agent agent;
 	struct machine_probes probes;
 	struct machine_commands commands;
+	struct machine_long_poll long_poll;
 	struct machine_cloud cloud;
 	struct machine_scheduling scheduling;
-	UT_hash_handle hh; /* links of the hash table core->machines, by id */
+	UT_hash_handle hh;	      /* links of the hash table core->machines, by id */
+	UT_hash_handle hh_connection; /* links of agents.long_polls_by_connection */
 };
 
 /* Iterates over all machines. `next` is a second cursor, so that the body may free `machine`. */
@@ -216,6 +230,13 @@
  * preemption notice or backoff.
  */
 bool machine_is_usable(const struct core *core, const struct machine *machine);
+/*
+ * True if no message with the start of an attempt can take effect any more. `start_sequence` is
+ * that of struct binding, for an attempt on this machine. An old message that still can may start
+ * the attempt: until then the agent must not forget the attempt, and a report that does not list it
+ * does not prove its end.
+ */
+bool machine_start_is_void(const struct machine *machine, uint64_t start_sequence);
 /* True if the machine's agent lists MACHINE_UNBOUND_TASKS_MANY tasks or more that are not bound. */
 bool machine_has_many_unbound_tasks(const struct machine *machine);
 /* The number of further tasks that may be bound to the machine so that its report does not grow
--- a/src/core/scheduling/cycle_trigger.c
+++ b/src/core/scheduling/cycle_trigger.c
@@ -57,6 +57,19 @@
 	return same;
 }
 
+/* Records the demands of the tasks that wait for capacity after the cycle. Jobs of teams at their
+ * quota wait for something else. */
+static void record_waiting_demands(struct core *core, const struct job_list *jobs)
+{
+	waiting_demands_clear(core);
+	for (size_t i = 0; i < jobs->count; i++) {
+		const struct job *job = jobs->jobs[i];
+
+		if (job_waiting_count(job) && team_quota_allows(core, &job->spec, 1))
+			waiting_demand_add(core, &job->spec);
+	}
+}
+
 static void run_cycle(struct core *core, const struct job_list *jobs)
 {
 	const struct job_list no_jobs = {0};
@@ -96,5 +109,6 @@
 	jobs = waiting_jobs(core);
 	if (jobs.count || replicas_must_move(core))
 		run_cycle(core, &jobs);
+	record_waiting_demands(core, &jobs);
 	free(jobs.jobs);
 }
--- a/src/core/scheduling/gang_placement.c
+++ b/src/core/scheduling/gang_placement.c
@@ -38,8 +38,8 @@
 		struct candidate *candidate = &cycle->candidates[i];
 		const struct machine_room *room = candidate->room;
 
-		candidate->cost =
-		    cycle->pools[room->pool].cost_s + placement_cost(room->machine, job);
+		candidate->cost = cycle->pools[room->pool].cost_s +
+				  placement_cost(cycle->core, room->machine, job);
 	}
 	candidates_sort_by_cost(cycle);
 }
--- a/src/core/scheduling/placement.c
+++ b/src/core/scheduling/placement.c
@@ -47,7 +47,7 @@
 			continue;
 		if (scope == ROOM_SPARE && cycle_gang_needs_room(cycle, room, &job->spec))
 			continue;
-		cost += placement_cost(room->machine, job) +
+		cost += placement_cost(cycle->core, room->machine, job) +
 			replica_cost(cycle->core, job, room->machine);
 		if (cost < best_cost && job_zone_tasks_allowed(job, pool->zone)) {
 			best_cost = cost;
--- a/src/core/scheduling/placement_cost.c
+++ b/src/core/scheduling/placement_cost.c
@@ -15,11 +15,11 @@
 	return false;
 }
 
-double placement_cost(const struct machine *machine, const struct job *job)
+double placement_cost(const struct core *core, const struct machine *machine, const struct job *job)
 {
 	const struct job_spec *spec = &job->spec;
 	const struct machine_type *type = machine->type;
-	double cost = 0;
+	double cost = long_poll_start_delay_s(core, machine);
 
 	if (!machine_has_image(machine, spec->image) && type->fetch_gb_per_s > 0)
 		cost += spec->image_gb / type->fetch_gb_per_s;
--- a/src/core/scheduling/placement_cost.h
+++ b/src/core/scheduling/placement_cost.h
@@ -14,10 +14,12 @@
 /* Whether tasks of the job failed on the machine, as far as the job remembers such machines. */
 bool job_failed_on(const struct job *job, const struct machine *machine);
 /*
- * Returns the cost of one task of the job on the machine: the time to fetch the image, bin packing
+ * Returns the cost of one task of the job on the machine: the time until its start can be sent, the
+ * time to fetch the image, bin packing
  * (prefers the best fit, and machines in use), and earlier failures of the job there.
  */
-double placement_cost(const struct machine *machine, const struct job *job);
+double placement_cost(const struct core *core, const struct machine *machine,
+		      const struct job *job);
 /* Returns the cost that one task of the job on the machine has in addition to placement_cost
  * because it is a replica; 0 if the job is not a service. */
 double replica_cost(const struct core *core, const struct job *job, const struct machine *machine);
--- a/src/core/state.h
+++ b/src/core/state.h
@@ -25,6 +25,7 @@
 #include "core/model/job_failures.h"
 #include "core/model/machine.h"
 #include "core/model/task_bitmap.h"
+#include "core/model/task_demands.h"
 #include "core/model/team.h"
 #include "core/model/tombstones.h"
 #include "core/records/jobs_watch.h"
@@ -35,6 +36,7 @@
 #include "core/agents/agents.h"
 #include "core/agents/direct_commands.h"
 #include "core/agents/heartbeats.h"
+#include "core/agents/long_poll.h"
 #include "core/agents/replica_supervision.h"
 #include "core/scheduling/cycle_trigger.h"
 #include "core/scheduling/share_switching.h"
@@ -70,6 +72,7 @@
 	struct team *teams;
 	struct machine *machines;
 	struct tombstones tombstones;
+	struct task_demands task_demands;
 	struct agents agents;
 	struct replica_supervision replica_supervision;
 	struct write_queue write_queue;
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -137,6 +137,14 @@
 	}
 }
 
+/* Closes a connection that failed or that its caller has closed. */
+static void drop_connection(struct http_server *server, struct server_connection *connection)
+{
+	server_connection_close(server->connections, connection);
+	if (connection->awaits_response && server->callbacks->closed)
+		server->callbacks->closed(server->callback_context, connection->id);
+}
+
 void http_server_handle_events(struct http_server *server, struct server_connection *connection,
 			       uint32_t events, enum read_extent extent)
 {
@@ -149,7 +157,7 @@
 		return;
 	if (connection_read(base, body_max(connection) + HTTP_HEAD_MAX, extent) ==
 	    CONNECTION_BROKEN) {
-		server_connection_close(server->connections, connection);
+		drop_connection(server, connection);
 		return;
 	}
 	if (was_empty && base->input.len)
--- a/src/net/net.h
+++ b/src/net/net.h
@@ -44,6 +44,9 @@
 	 * empty.
 	 */
 	void (*reply)(void *ctx, uint64_t id, int status, const char *body, size_t len);
+	/* A caller closed the connection `conn`, or it failed, before its request was answered.
+	 * NULL: not needed. */
+	void (*closed)(void *ctx, uint64_t conn);
 };
 
 /* A call to send. Its strings and its body are copied. */
--- a/tests/loopback/clients.c
+++ b/tests/loopback/clients.c
@@ -30,7 +30,7 @@
 	snprintf(id, ID_MAX, W_JOB_PREFIX "%d", job);
 }
 
-static struct standin_job *find_job(struct loopback *loopback, int job)
+struct standin_job *loopback_job(struct loopback *loopback, int job)
 {
 	char id[ID_MAX];
 
@@ -70,6 +70,7 @@
 
 	if (machine->report_sequence != (id & CALL_SEQUENCE_MASK))
 		return;
+	loopback_note_answered_start(loopback, index, body);
 	standin_agent_handle_answer(&loopback->standin, index, machine->report_incarnation,
 				    machine->report_sequence,
 				    status > 0 ? status : STATUS_UNAVAILABLE, *body ? body : "{}");
@@ -118,7 +119,7 @@
 
 void loopback_submit(struct loopback *loopback, int number, int controller)
 {
-	struct standin_job *job = find_job(loopback, number);
+	struct standin_job *job = loopback_job(loopback, number);
 	char *body = wire_serialize(wire_job_encode(&job->spec));
 
 	job->submitted = true;
@@ -138,7 +139,7 @@
 {
 	char path[PATH_MAX_BYTES];
 
-	find_job(loopback, number)->cancel_requested = true;
+	loopback_job(loopback, number)->cancel_requested = true;
 	snprintf(path, sizeof(path), W_PATH_JOBS "/" W_JOB_PREFIX "%d" W_PATH_CANCEL, number);
 	send_user_call(loopback, CALL_CANCEL, number, controller, "POST", path, "");
 }
--- a/tests/loopback/loopback.c
+++ b/tests/loopback/loopback.c
@@ -14,8 +14,7 @@
 /* Indices in loopback->servers; those from SERVER_MACHINES on are agents. */
 enum { SERVER_STATE, SERVER_CLOUD, SERVER_MACHINES };
 
-/* A request's handle: the server's index in the high bits, the connection's id in the low ones. */
-#define HANDLE_SERVER_SHIFT 48
+/* A request's handle holds the connection's id in the low bits. */
 #define HANDLE_CONNECTION_MASK 0xffffffffffffull
 
 #define PORT_FIRST 10000
@@ -65,9 +64,12 @@
 static void send_reply(void *context, uint64_t handle, int status, const char *body)
 {
 	struct loopback *loopback = context;
-	struct net *net = loopback->servers[handle >> HANDLE_SERVER_SHIFT].net;
+	uint64_t server = handle >> HANDLE_SERVER_SHIFT;
 
-	net_answer(net, handle & HANDLE_CONNECTION_MASK, status, 0, body, strlen(body));
+	if (server == LOOPBACK_SERVERS) /* the answer to a copy, see loopback_repeat_start */
+		return;
+	net_answer(loopback->servers[server].net, handle & HANDLE_CONNECTION_MASK, status, 0, body,
+		   strlen(body));
 }
 
 static void handle_request(void *context, uint64_t conn, enum net_side side, const char *method,
@@ -84,9 +86,11 @@
 	} else if (server->index == SERVER_CLOUD) {
 		standin_cloud_handle_request(standin, handle, method, path, body);
 	} else {
-		struct standin_machine *machine =
-		    &standin->machines[server->index - SERVER_MACHINES];
+		int index = server->index - SERVER_MACHINES;
+		struct standin_machine *machine = &standin->machines[index];
 
+		if (!strcmp(path, W_PATH_COMMANDS))
+			loopback_note_direct_start(server->loopback, index, body);
 		standin_agent_handle_request(standin, machine, handle, path, body);
 	}
 }
@@ -246,5 +250,7 @@
 	for (int i = 0; i < LOOPBACK_SERVERS; i++)
 		net_free(loopback->servers[i].net);
 	net_free(loopback->net);
+	for (int i = 0; i < LOOPBACK_MACHINES; i++)
+		free(loopback->newest_starts[i].body);
 	standin_free(&loopback->standin);
 }
--- a/tests/loopback/loopback.h
+++ b/tests/loopback/loopback.h
@@ -19,8 +19,10 @@
 #define LOOPBACK_MACHINES 3
 #define LOOPBACK_MACHINE_CPUS 32		 /* of each machine */
 #define LOOPBACK_SERVERS (2 + LOOPBACK_MACHINES) /* state service, cloud, one for each agent */
-#define LOOPBACK_JOBS 256			 /* every job's number is below this */
-#define LOOPBACK_STATUSES 600			 /* every HTTP status is below this */
+/* The handle of a request to a stand-in holds the server's index in the bits from this one on. */
+#define HANDLE_SERVER_SHIFT 48
+#define LOOPBACK_JOBS 256	 /* every job's number is below this */
+#define LOOPBACK_STATUSES 600	 /* every HTTP status is below this */
 #define LOOPBACK_CONNECTIONS 500 /* a controller's max_connections, unless a test sets more */
 /* Lower limits of the state service, which the settings announce for later (facts.state.next). */
 #define LOOPBACK_NEXT_VALUE_KB 2.0
@@ -48,6 +50,13 @@
 	pid_t pid;		   /* of its process; 0: none runs */
 };
 
+/* A message that carried a start to an agent: a direct message, or the answer to a report. */
+struct loopback_start {
+	bool direct;
+	uint64_t incarnation, sequence; /* of the report that was answered */
+	char *body;			/* owned; NULL: there was none */
+};
+
 struct loopback {
 	struct standin standin;
 	struct conf conf;
@@ -59,6 +68,8 @@
 	int max_connections;
 	int answer_counts[LOOPBACK_STATUSES]; /* answers to users and agents, by HTTP status */
 	bool known_done[LOOPBACK_JOBS];	      /* by job number: a user saw the job as done */
+	/* The newest message with a start that each machine's agent got. */
+	struct loopback_start newest_starts[LOOPBACK_MACHINES];
 };
 
 /* --- setup, event loop and teardown: loopback.c --- */
@@ -88,6 +99,22 @@
  */
 const char *loopback_leader(const struct loopback *loopback, const char *key);
 
+/* --- copies of starts: start_copies.c --- */
+
+/* Keeps a copy of a direct message to a machine's agent, if it carries a start. */
+void loopback_note_direct_start(struct loopback *loopback, int machine, const char *body);
+
+/* Keeps a copy of the answer to a machine's newest report, if it carries a start. */
+void loopback_note_answered_start(struct loopback *loopback, int machine, const char *body);
+
+/* Returns a copy of the newest message with a start that the machine's agent got, for the caller to
+ * free its body. */
+struct loopback_start loopback_capture_start(const struct loopback *loopback, int machine);
+
+/* A copy of the message reaches the machine's agent. Nobody gets the agent's answer. */
+void loopback_repeat_start(struct loopback *loopback, int machine,
+			   const struct loopback_start *start);
+
 /* --- controllers: controllers.c --- */
 
 /* Writes the controller's settings file and starts it as a process of the program at this path. */
@@ -124,4 +151,7 @@
 void loopback_poll(struct loopback *loopback, int job, int controller);
 void loopback_cancel(struct loopback *loopback, int job, int controller);
 
+/* Returns the job with this number, as its user knows it; NULL if it was not added. */
+struct standin_job *loopback_job(struct loopback *loopback, int job);
+
 #endif
--- a/tests/runner/delivery.c
+++ b/tests/runner/delivery.c
@@ -7,6 +7,7 @@
 #include "clients.h"
 #include "connections.h"
 #include "controllers.h"
+#include "faults.h"
 #include "message_queue.h"
 #include "network.h"
 #include "outbox.h"
@@ -85,6 +86,22 @@
 	return (uintptr_t)pending;
 }
 
+/* Keeps a copy of a message to a machine, if it carries a start. A scenario may capture it. */
+static void note_start(struct world *world, const struct message *message)
+{
+	int machine = message->to - HOST_MACHINES;
+	struct start_message *newest;
+
+	if (machine >= CAPTURED_MACHINES || !message->body ||
+	    !strstr(message->body, "\"" W_OP_START "\""))
+		return;
+	newest = &world->newest_starts[machine];
+	free(newest->body);
+	newest->kind = message->kind;
+	newest->id = message->id;
+	newest->body = xstrdup(message->body);
+}
+
 /* Keeps a copy of a direct message, which a scenario may capture. */
 static void note_commands(struct world *world, const struct message *message)
 {
@@ -94,6 +111,7 @@
 		return;
 	free(world->newest_commands[machine]);
 	world->newest_commands[machine] = xstrdup(message->body);
+	note_start(world, message);
 }
 
 static void deliver_machine_request(struct world *world, const struct message *message)
@@ -208,10 +226,11 @@
 	int index = message->to - HOST_MACHINES;
 	const struct standin_machine *machine = &world->standin.machines[index];
 
-	if (report_connection_is(message->id, machine->report_sequence))
-		standin_agent_handle_answer(&world->standin, index, machine->report_incarnation,
-					    machine->report_sequence, message->status,
-					    message->body);
+	if (!report_connection_is(message->id, machine->report_sequence))
+		return;
+	note_start(world, message);
+	standin_agent_handle_answer(&world->standin, index, machine->report_incarnation,
+				    machine->report_sequence, message->status, message->body);
 }
 
 /* --- replies to controllers and clients --- */
@@ -239,6 +258,14 @@
 	controller_answer(world, message->to, &no_answer);
 }
 
+static void deliver_restart(struct world *world, const struct message *message)
+{
+	struct standin_machine *machine = &world->standin.machines[message->to - HOST_MACHINES];
+
+	if (machine->power == POWER_UP && !machine->hanging)
+		fault_restart_machine(world, machine);
+}
+
 /* False if the controller is down, or if the message ends a call of an earlier process of it. */
 static bool can_be_delivered(const struct controller *controller, const struct message *message)
 {
@@ -271,6 +298,9 @@
 	case MESSAGE_REPORT_REPLY:
 		deliver_report_reply(world, message);
 		break;
+	case MESSAGE_RESTART:
+		deliver_restart(world, message);
+		break;
 	}
 	if (!controller)
 		return;
--- a/tests/runner/faults.c
+++ b/tests/runner/faults.c
@@ -8,10 +8,12 @@
 #include <string.h>
 
 #include "controllers.h"
+#include "message_queue.h"
 
-#define DEFAULT_DOWN_S 3      /* downtime of a controller that crashes */
-#define DEFAULT_DURATION_S 10 /* duration of a partition, a freeze or an outage */
-#define DEFAULT_NOTICE_S 8    /* time of a preemption notice, until the machine is reclaimed */
+#define DEFAULT_DOWN_S 3	   /* downtime of a controller that crashes */
+#define DEFAULT_DURATION_S 10	   /* duration of a partition, a freeze or an outage */
+#define RESTART_COPIES_RANGE_S 0.2 /* in which copies follow the restart of their machine */
+#define DEFAULT_NOTICE_S 8	   /* time of a preemption notice, until the machine is reclaimed */
 
 static double down_time(const struct scenario_line *line)
 {
@@ -33,6 +35,7 @@
 {
 	double duration_s = fmax(line_option_number(line, "for", 0), down_time(line));
 
+	duration_s = fmax(duration_s, line_option_number(line, "within", 0));
 	world->faults_end_s = fmax(world->faults_end_s, world->now_s + duration_s);
 }
 
@@ -168,11 +171,32 @@
 	for_machines(world, line, reclaim_one);
 }
 
+void fault_restart_machine(struct world *world, struct standin_machine *machine)
+{
+	int host = HOST_MACHINES + (int)(machine - world->standin.machines);
+
+	standin_machine_restart(&world->standin, machine);
+	message_queue_restarted(world, host, RESTART_COPIES_RANGE_S);
+}
+
 static void restart_one(struct world *world, const struct scenario_line *line,
 			struct standin_machine *machine)
 {
 	(void)line;
-	standin_machine_restart(&world->standin, machine);
+	fault_restart_machine(world, machine);
+}
+
+/* random_restarts N within=S: N times in the next S seconds, a machine drawn at random restarts */
+static void restart_at_random(struct world *world, const struct scenario_line *line)
+{
+	double range_s = line_option_number(line, "within", DEFAULT_DURATION_S);
+
+	for (int i = 0; i < line_integer(line, 1); i++) {
+		int machine = (int)(world_random(world) * world->standin.machine_count);
+
+		message_new(world, MESSAGE_RESTART, HOST_ANY, HOST_MACHINES + machine,
+			    world->now_s + range_s * world_random(world));
+	}
 }
 
 /* restart K: the machine restarts at once; its tasks and its agent's state are lost */
@@ -232,6 +256,7 @@
     {"kill", 1, kill_machines},
     {"reclaim", 1, reclaim_machines},
     {"restart", 1, restart_machines},
+    {"random_restarts", 1, restart_at_random},
     {"preemption_notice", 1, notify_machines},
     {"hang", 1, hang_machines},
     {"faulty", 1, set_faulty_machines},
--- a/tests/runner/faults.h
+++ b/tests/runner/faults.h
@@ -13,6 +13,8 @@
 
 /* Sets world->faults_end_s to the end of this line's fault if that is later. Must be called before
  * the line is run: a line `quiet` then sets the present time. */
+/* Restarts the machine, which then gets the copies that wait for its restart. */
+void fault_restart_machine(struct world *world, struct standin_machine *machine);
 void faults_extend_duration(struct world *world, const struct scenario_line *line);
 
 #endif
--- a/tests/runner/message_queue.c
+++ b/tests/runner/message_queue.c
@@ -29,19 +29,46 @@
 		DL_PREPEND(world->queue, message);
 }
 
-struct message *message_new(struct world *world, enum message_kind kind, int from, int to,
-			    double due_at_s)
+static struct message *allocate_message(enum message_kind kind, int from, int to)
 {
 	struct message *message = xcalloc(1, sizeof(*message));
 
 	message->kind = kind;
 	message->from = from;
 	message->to = to;
+	return message;
+}
+
+struct message *message_new(struct world *world, enum message_kind kind, int from, int to,
+			    double due_at_s)
+{
+	struct message *message = allocate_message(kind, from, to);
+
 	message->due_at_s = due_at_s;
 	enqueue(world, message);
 	return message;
 }
 
+struct message *message_for_restart(struct world *world, enum message_kind kind, int from, int to)
+{
+	struct message *message = allocate_message(kind, from, to);
+
+	DL_APPEND(world->restart_copies, message);
+	return message;
+}
+
+void message_queue_restarted(struct world *world, int machine_host, double range_s)
+{
+	struct message *message, *next;
+
+	DL_FOREACH_SAFE (world->restart_copies, message, next) {
+		if (message->to != machine_host)
+			continue;
+		DL_DELETE(world->restart_copies, message);
+		message_postpone(world, message, world->now_s + range_s * world_random(world));
+	}
+}
+
 void message_set_body(struct message *message, const char *body, size_t length)
 {
 	message->body = xmalloc(length + 1);
@@ -74,11 +101,17 @@
 	enqueue(world, message);
 }
 
-void message_queue_free(struct world *world)
+static void free_list(struct message **list)
 {
 	struct message *message, *next;
 
-	DL_FOREACH_SAFE (world->queue, message, next)
+	DL_FOREACH_SAFE (*list, message, next)
 		message_free(message);
-	world->queue = NULL;
+	*list = NULL;
+}
+
+void message_queue_free(struct world *world)
+{
+	free_list(&world->queue);
+	free_list(&world->restart_copies);
 }
--- a/tests/runner/message_queue.h
+++ b/tests/runner/message_queue.h
@@ -17,7 +17,13 @@
 /* Returns a removed message to the queue with a new time of arrival, after all others that are due
  * by then. */
 void message_postpone(struct world *world, struct message *message, double due_at_s);
-/* Frees all messages in the queue. */
+/* Returns a new message that waits until its machine `to` has restarted. The caller sets the fields
+ * of its kind. */
+struct message *message_for_restart(struct world *world, enum message_kind kind, int from, int to);
+/* Queues the messages that wait for the restart of a machine, to arrive within `range_s` seconds at
+ * random times. */
+void message_queue_restarted(struct world *world, int machine_host, double range_s);
+/* Frees all messages in the queue, and those that wait for a restart. */
 void message_queue_free(struct world *world);
 
 #endif
--- a/tests/runner/network.c
+++ b/tests/runner/network.c
@@ -110,7 +110,8 @@
  * timeouts are events within a controller, and messages of clients and machines are not lost. */
 static bool is_lost(struct world *world, const struct message *message)
 {
-	if (message->kind == MESSAGE_TIMEOUT || message->from >= HOST_CLIENTS)
+	if (message->kind == MESSAGE_TIMEOUT || message->kind == MESSAGE_RESTART ||
+	    message->from >= HOST_CLIENTS)
 		return false;
 	return world_random(world) < world->network_faults.lost;
 }
@@ -125,7 +126,7 @@
 		message_postpone(world, message, wake_s);
 		return;
 	}
-	if (message->kind != MESSAGE_TIMEOUT)
+	if (message->kind != MESSAGE_TIMEOUT && message->kind != MESSAGE_RESTART)
 		cut = network_cut_between(world, message->from, message->to);
 	if (!cut)
 		cut = cut_by_kind(world, message);
--- a/tests/runner/network_faults.c
+++ b/tests/runner/network_faults.c
@@ -1,10 +1,12 @@
 /* The handlers of the lines that cause faults of the network: messages that are lost, cut off,
  * held, late or repeated. */
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "connections.h"
 #include "controllers.h"
+#include "core/runtime/http_status.h"
 #include "faults.h"
 #include "message_queue.h"
 #include "network.h"
@@ -14,6 +16,8 @@
 /* Default of network_faults.duplicate_delay_s. */
 #define DEFAULT_DUPLICATE_DELAY_S 30
 #define MACHINE_PREFIX "machine:"
+/* The beginning of a direct message, up to the fields that an answer has too. */
+#define DIRECT_MESSAGE_HEAD "{\"" W_INCARNATION "\":1,"
 
 /* --- random faults --- */
 
@@ -31,6 +35,13 @@
 	world->network_faults.repeat_range_s = line_option_number(line, "after", 0);
 }
 
+/* repeat_at_restart P: this share of messages with commands to machines also arrives again when the
+ * machine has restarted */
+static void set_copies_for_restarts(struct world *world, const struct scenario_line *line)
+{
+	world->network_faults.copied_for_restart = line_number(line, 1);
+}
+
 /* slow_store P: this share of the state service's replies arrives late */
 static void set_slow_state_replies(struct world *world, const struct scenario_line *line)
 {
@@ -211,27 +222,87 @@
 	world->captured_commands[machine] = newest ? xstrdup(newest) : NULL;
 }
 
+/* A copy of a direct message reaches the machine; no controller gets the answer. */
+static void deliver_commands_copy(struct world *world, int machine, const char *body)
+{
+	struct message *request =
+	    message_new(world, MESSAGE_REQUEST, 0, HOST_MACHINES + machine, world->now_s);
+
+	request->method = xstrdup("POST");
+	request->path = xstrdup(W_PATH_COMMANDS);
+	message_set_body(request, body, strlen(body));
+}
+
+/* A copy of the answer to a report reaches the machine. */
+static void deliver_answer_copy(struct world *world, int machine,
+				const struct start_message *captured)
+{
+	struct message *answer =
+	    message_new(world, MESSAGE_REPORT_REPLY, 0, HOST_MACHINES + machine, world->now_s);
+
+	answer->id = captured->id;
+	answer->status = STATUS_OK;
+	answer->body = xstrdup(captured->body);
+}
+
 /* replay_commands K: the captured direct message reaches machine K once more */
 static void replay_commands(struct world *world, const struct scenario_line *line)
 {
 	int machine = line_integer(line, 1) % CAPTURED_MACHINES;
 	const char *captured = world->captured_commands[machine];
-	struct message *request;
 
-	if (!captured) {
+	if (captured)
+		deliver_commands_copy(world, machine, captured);
+	else
 		world_fail(world, "no direct message to machine %s was captured",
 			   line_word(line, 1));
-		return;
-	}
-	request = message_new(world, MESSAGE_REQUEST, 0, HOST_MACHINES + machine, world->now_s);
-	request->method = xstrdup("POST");
-	request->path = xstrdup(W_PATH_COMMANDS);
-	message_set_body(request, captured, strlen(captured));
+}
+
+/* capture_start K: saves a copy of the newest message with a start that reached machine K, which is
+ * a direct message or the answer to a report */
+static void capture_start(struct world *world, const struct scenario_line *line)
+{
+	int machine = line_integer(line, 1) % CAPTURED_MACHINES;
+	const struct start_message *newest = &world->newest_starts[machine];
+	struct start_message *captured = &world->captured_starts[machine];
+
+	free(captured->body);
+	*captured = *newest;
+	captured->body = newest->body ? xstrdup(newest->body) : NULL;
+}
+
+/* The commands of an answer reach the machine in a direct message to its first incarnation. */
+static void deliver_answer_directly(struct world *world, int machine, const char *answer)
+{
+	char *body = xmalloc(strlen(DIRECT_MESSAGE_HEAD) + strlen(answer) + 1);
+
+	/* The answer's text without its opening brace follows the head. */
+	sprintf(body, "%s%s", DIRECT_MESSAGE_HEAD, answer + 1);
+	deliver_commands_copy(world, machine, body);
+	free(body);
+}
+
+/* replay_start K [as=direct]: the captured message with a start reaches machine K once more; with
+ * as=direct as a direct message, as versions before 0.6.4 sent starts */
+static void replay_start(struct world *world, const struct scenario_line *line)
+{
+	int machine = line_integer(line, 1) % CAPTURED_MACHINES;
+	const struct start_message *captured = &world->captured_starts[machine];
+
+	if (!captured->body)
+		world_fail(world, "no start of machine %s was captured", line_word(line, 1));
+	else if (captured->kind == MESSAGE_REQUEST)
+		deliver_commands_copy(world, machine, captured->body);
+	else if (!strcmp(line_option(line, "as", ""), "direct"))
+		deliver_answer_directly(world, machine, captured->body);
+	else
+		deliver_answer_copy(world, machine, captured);
 }
 
 const struct scenario_keyword network_fault_keywords[] = {
     {"loss", 1, set_message_loss},
     {"repeat", 1, set_request_repetition},
+    {"repeat_at_restart", 1, set_copies_for_restarts},
     {"slow_store", 1, set_slow_state_replies},
     {"late_writes", 1, set_late_transactions},
     {"late_reports", 1, set_duplicate_reports},
@@ -244,5 +315,7 @@
     {"hold_commands", 1, hold_commands},
     {"capture_commands", 1, capture_commands},
     {"replay_commands", 1, replay_commands},
+    {"capture_start", 1, capture_start},
+    {"replay_start", 1, replay_start},
     {NULL, 0, NULL},
 };
--- a/tests/runner/outbox.c
+++ b/tests/runner/outbox.c
@@ -31,6 +31,14 @@
 	return machine ? HOST_MACHINES + (int)(machine - world->standin.machines) : HOST_ANY;
 }
 
+/* True if a copy of commands is to arrive after the next restart of their machine. */
+static bool is_copied_for_restart(struct world *world)
+{
+	double share = world->network_faults.copied_for_restart;
+
+	return share > 0 && world_random(world) < share;
+}
+
 /* Sends an answer to a client or to a report. Its body is text or absent. */
 static void send_text_answer(struct world *world, int index, const struct core_action *action)
 {
@@ -42,6 +50,12 @@
 	answer->id = action->id;
 	answer->status = action->status;
 	answer->body = action->body ? xstrdup(action->body) : NULL;
+	if (to_machine && action->body && is_copied_for_restart(world)) {
+		answer = message_for_restart(world, kind, index, to);
+		answer->id = action->id;
+		answer->status = action->status;
+		answer->body = xstrdup(action->body);
+	}
 }
 
 /* Sends an answer to another controller. Its body may be binary. */
@@ -80,6 +94,13 @@
 	return world_random(world) < world->network_faults.late_transactions;
 }
 
+static void set_request(struct message *request, const struct core_action *action)
+{
+	request->method = xstrdup(action->method);
+	request->path = xstrdup(action->path);
+	message_set_body(request, action->body, action->len);
+}
+
 /* Sends a request. `call` is the id of the controller's call; 0: the controller gets no reply. */
 static void send_request(struct world *world, int index, int to, const struct core_action *action,
 			 double due_at_s, uint64_t call)
@@ -88,9 +109,16 @@
 
 	request->id = call;
 	request->incarnation = world->controllers[index].incarnation;
-	request->method = xstrdup(action->method);
-	request->path = xstrdup(action->path);
-	message_set_body(request, action->body, action->len);
+	set_request(request, action);
+}
+
+/* Keeps a copy of direct commands for the next restart of their machine, at random. */
+static void copy_for_restart(struct world *world, int index, int to,
+			     const struct core_action *action)
+{
+	if (to >= HOST_MACHINES && !strcmp(action->path, W_PATH_COMMANDS) &&
+	    is_copied_for_restart(world))
+		set_request(message_for_restart(world, MESSAGE_REQUEST, index, to), action);
 }
 
 /*
@@ -106,6 +134,7 @@
 
 	timeout->id = action->id;
 	timeout->incarnation = world->controllers[index].incarnation;
+	copy_for_restart(world, index, to, action);
 	for (int copy = 0; to != HOST_ANY && copy < REQUEST_COPIES; copy++) {
 		bool late = is_late_transaction(world, to, action);
 		double due_at_s = arrival_s + copy * REPEAT_DELAY_S;
--- a/tests/runner/world.c
+++ b/tests/runner/world.c
@@ -69,6 +69,8 @@
 		free(world->captured_reports[i]);
 		free(world->newest_commands[i]);
 		free(world->captured_commands[i]);
+		free(world->newest_starts[i].body);
+		free(world->captured_starts[i].body);
 	}
 	peer_requests_free(world);
 	watch_requests_free(world);
--- a/tests/runner/world.h
+++ b/tests/runner/world.h
@@ -29,9 +29,10 @@
 enum message_kind {
 	MESSAGE_REQUEST,
 	MESSAGE_REPLY,
-	MESSAGE_TIMEOUT,     /* ends a call of the controller `to` that got no reply */
-	MESSAGE_REPORT,	     /* from a machine to a controller */
-	MESSAGE_REPORT_REPLY /* a controller's answer to a report */
+	MESSAGE_TIMEOUT,      /* ends a call of the controller `to` that got no reply */
+	MESSAGE_REPORT,	      /* from a machine to a controller */
+	MESSAGE_REPORT_REPLY, /* a controller's answer to a report */
+	MESSAGE_RESTART	      /* no message: the machine `to` restarts */
 };
 
 /* A message in flight. It owns its strings, which are NULL where its kind has none. */
@@ -49,6 +50,13 @@
 	struct message *prev, *next;
 };
 
+/* A copy of a message that carried a start to a machine. */
+struct start_message {
+	enum message_kind kind; /* MESSAGE_REQUEST: direct message, MESSAGE_REPORT_REPLY: answer */
+	uint64_t id;		/* of the connection of the report that was answered */
+	char *body;		/* owned; NULL: there is no message */
+};
+
 /* A controller: its core and the process around it. */
 struct controller {
 	struct conf conf;
@@ -93,6 +101,7 @@
 struct network_faults {
 	double lost;		   /* messages that do not arrive */
 	double repeated;	   /* requests that are carried out twice */
+	double copied_for_restart; /* commands to machines that arrive again after a restart */
 	double repeat_range_s;	   /* seconds by which the repetition may exceed its least delay */
 	double slow_state_replies; /* replies of the state service that arrive late */
 	double late_transactions;  /* transactions that get no reply and are carried out late */
@@ -144,7 +153,8 @@
 	int controller_count;
 	bool started; /* true once the controllers were started */
 
-	struct message *queue; /* messages in flight, in order of arrival */
+	struct message *queue;		/* messages in flight, in order of arrival */
+	struct message *restart_copies; /* arrive when their machine has restarted */
 	struct network_cut *cuts;
 	struct network_faults network_faults;
 	struct peer_request *peer_requests; /* unanswered; hash table, by connection */
@@ -163,6 +173,9 @@
 	/* Bodies of the newest direct message that reached a machine, and of the captured one, by
 	 * machine; NULL: none. */
 	char *newest_commands[CAPTURED_MACHINES], *captured_commands[CAPTURED_MACHINES];
+	/* The newest message with a start that reached a machine, and the captured one, by
+	 * machine. */
+	struct start_message newest_starts[CAPTURED_MACHINES], captured_starts[CAPTURED_MACHINES];
 
 	uint64_t seed;			/* of the controllers' random numbers */
 	unsigned short random_state[3]; /* state of the simulation's generator, for erand48 */
--- a/tests/unit/net_support.c
+++ b/tests/unit/net_support.c
@@ -58,6 +58,8 @@
 
 	(void)side, (void)method, (void)path, (void)body, (void)length;
 	server->requests++;
+	if (server->delays_answers)
+		return;
 	net_answer(server->net, connection, 200, 0, "{}", 2);
 }
 
@@ -69,9 +71,18 @@
 	server->replies += status == 200;
 }
 
+static void count_closed(void *context, uint64_t connection)
+{
+	struct test_server *server = context;
+
+	(void)connection;
+	server->closed++;
+}
+
 void test_server_start(struct test_server *server, int callers)
 {
-	static const struct net_callbacks callbacks = {answer_request, count_reply};
+	static const struct net_callbacks callbacks = {
+	    .request = answer_request, .reply = count_reply, .closed = count_closed};
 
 	*server = (struct test_server){0};
 	server->net = net_new(&callbacks, server, callers + NET_CONNS_RESERVED, IDLE_S);
--- a/tests/unit/net_support.h
+++ b/tests/unit/net_support.h
@@ -3,6 +3,7 @@
 #define PLOVERLOFT_UNIT_NET_SUPPORT_H
 
 #include <netinet/in.h>
+#include <stdbool.h>
 
 #include "constants.h"
 #include "net/net.h"
@@ -29,8 +30,10 @@
 struct test_server {
 	struct net *net;
 	struct loopback_address address;
-	int requests; /* requests received from callers */
-	int replies;  /* replies with status 200 to the server's own calls */
+	int requests;	     /* requests received from callers */
+	int replies;	     /* replies with status 200 to the server's own calls */
+	int closed;	     /* connections that callers closed before their request was answered */
+	bool delays_answers; /* requests are not answered */
 };
 
 /* Starts a server that listens for users and agents, with sockets for `callers` connections. */
--- a/tests/unit/test_net_bodies.c
+++ b/tests/unit/test_net_bodies.c
@@ -64,8 +64,8 @@
 /* Makes both calls, the second after the reply to the first. */
 static void call_twice(struct two_calls *calls)
 {
-	static const struct net_callbacks server_callbacks = {answer_long_then_short, NULL};
-	static const struct net_callbacks client_callbacks = {NULL, record_reply};
+	static const struct net_callbacks server_callbacks = {.request = answer_long_then_short};
+	static const struct net_callbacks client_callbacks = {.reply = record_reply};
 	struct net *client = net_new(&client_callbacks, calls, CONNECTIONS, IDLE_S);
 	struct loopback_address address;
 
@@ -142,8 +142,8 @@
 /* Makes the call to a server's listener for users and agents or to that for controllers. */
 static struct large_call call_with_large_body(enum net_side side)
 {
-	static const struct net_callbacks server_callbacks = {handle_large_request, NULL};
-	static const struct net_callbacks client_callbacks = {NULL, record_reply_status};
+	static const struct net_callbacks server_callbacks = {.request = handle_large_request};
+	static const struct net_callbacks client_callbacks = {.reply = record_reply_status};
 	struct large_call large = {.status = NO_STATUS};
 	struct net *client = net_new(&client_callbacks, &large, CONNECTIONS, IDLE_S);
 	char *body = xcalloc(1, LARGE_BODY);
--- a/tests/unit/test_net_turns.c
+++ b/tests/unit/test_net_turns.c
@@ -103,11 +103,40 @@
 	test_server_stop(&server);
 }
 
+/*
+ * A caller that closes its connection while its answer is delayed is reported, so that nothing is
+ * sent in that answer. One whose request was answered is not.
+ */
+static void test_closed_before_answer(void **state)
+{
+	struct test_server server;
+	int callers[2];
+
+	(void)state;
+	test_server_start(&server, SPARE_SOCKETS);
+	connect_callers(&server, callers, 2);
+	send_requests(callers, 1);
+	test_server_iterate(&server, LATE_ITERATIONS);
+	close(callers[0]);
+	test_server_iterate(&server, LATE_ITERATIONS);
+	assert_int_equal(server.closed, 0);
+	server.delays_answers = true;
+	send_requests(callers + 1, 1);
+	test_server_iterate(&server, LATE_ITERATIONS);
+	assert_int_equal(server.closed, 0);
+	close(callers[1]);
+	test_server_iterate(&server, LATE_ITERATIONS);
+	assert_int_equal(server.requests, 2);
+	assert_int_equal(server.closed, 1);
+	test_server_stop(&server);
+}
+
 int main(void)
 {
 	static const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(test_own_replies_before_requests),
 	    cmocka_unit_test(test_late_loop_drops_closed_callers),
+	    cmocka_unit_test(test_closed_before_answer),
 	};
 
 	return cmocka_run_group_tests_name("net_turns", tests, NULL, NULL);
