Records of chunks that are written with their job's final record are deleted

What callers saw: nothing at once; a record of a job that was over stayed in the state service until the next change of leader read and deleted it.

Cause: a transaction that held the final record of a job and a write of one of its chunks was applied in the order of its writes, the final record first. finish_chunk found the chunk in flight, hence not idle, and queued no delete; when the chunk's write was applied, the job was freed.

Change: the committed writes of chunks are applied before the final records. finish_chunk then sees the version that the transaction has written and queues the delete.

--- a/src/core/records/transaction_commit.c
+++ b/src/core/records/transaction_commit.c
@@ -106,13 +106,19 @@
 	core->events->token_renewed(core);
 }
 
-static void apply_committed_write(struct core *core, const struct pending_write *write,
-				  uint64_t revision)
+/* Applies the committed writes of chunks, and frees them. */
+static void apply_committed_chunks(struct core *core, struct transaction *transaction,
+				   uint64_t revision)
 {
-	if (write->kind == WRITE_CHUNK)
+	struct pending_write *write, *next;
+
+	DL_FOREACH_SAFE (transaction->writes, write, next) {
+		if (write->kind != WRITE_CHUNK)
+			continue;
+		DL_DELETE(transaction->writes, write);
 		apply_committed_chunk(core, write->job, write->chunk_index, revision);
-	else if (write->kind == WRITE_FINAL)
-		transaction_apply_final(core, write->job);
+		free(write);
+	}
 }
 
 void transaction_apply_commit(struct core *core, uint64_t revision)
@@ -120,9 +126,13 @@
 	struct transaction *transaction = &core->write_queue.transaction;
 	struct pending_write *write, *next;
 
+	/* Final records come after the chunks: once a job is over, the records of its idle chunks
+	 * are deleted, also one that this transaction has written. */
+	apply_committed_chunks(core, transaction, revision);
 	DL_FOREACH_SAFE (transaction->writes, write, next) {
 		DL_DELETE(transaction->writes, write);
-		apply_committed_write(core, write, revision);
+		if (write->kind == WRITE_FINAL)
+			transaction_apply_final(core, write->job);
 		free(write);
 	}
 	if (transaction->renews_token)
