Answers are delayed before the first job too, and not on machines with replicas

A replica that ends has to start again at once, but its agent reports the end only after a delayed answer.

--- a/src/core/agents/long_poll.c
+++ b/src/core/agents/long_poll.c
@@ -34,10 +34,11 @@
 }
 
 /* While the answer waits, the agent sends no news of tasks that end. They are needed if a task
- * waits for the capacity. */
+ * waits for the capacity, or if a replica runs there, which has to start again. */
 static bool ends_are_needed(const struct core *core, const struct machine *machine)
 {
-	return machine->bindings && waiting_demand_fits_empty(core, machine);
+	return machine->replica_count ||
+	       (machine->bindings && waiting_demand_fits_empty(core, machine));
 }
 
 bool long_poll_is_useful(const struct core *core, const struct machine *machine)
--- a/src/core/model/task_demands.c
+++ b/src/core/model/task_demands.c
@@ -61,8 +61,10 @@
 
 bool recent_demand_fits(const struct core *core, const struct machine *machine)
 {
-	return any_demand_fits(&core->task_demands.recent, machine->free_cpus, machine->free_gpus,
-			       machine->free_mem_gb);
+	const struct demand_list *recent = &core->task_demands.recent;
+
+	return !recent->count || any_demand_fits(recent, machine->free_cpus, machine->free_gpus,
+						 machine->free_mem_gb);
 }
 
 bool waiting_demand_fits(const struct core *core, const struct machine *machine)
