--- a/tests/runner/controllers.c
+++ b/tests/runner/controllers.c
@@ -151,6 +151,12 @@
 	controller_crash(world, index, crash->down_s);
 }
 
+void controller_connection_closed(struct world *world, int index, uint64_t connection)
+{
+	core_connection_closed(world->controllers[index].core, controller_time(world, index),
+			       connection);
+}
+
 void controller_request(struct world *world, int index, const struct core_request *request)
 {
 	core_request(world->controllers[index].core, controller_time(world, index), request);
--- a/tests/runner/controllers.h
+++ b/tests/runner/controllers.h
@@ -19,6 +19,8 @@
 void controller_crash_at_step(struct world *world, int index);
 
 /* Passes a request to the core of a controller, which must be up. */
+/* The machine closes the connection on which it has sent its newest report to the controller. */
+void controller_connection_closed(struct world *world, int index, uint64_t connection);
 void controller_request(struct world *world, int index, const struct core_request *request);
 /* Passes the end of a call to the core of a controller, which must be up. */
 void controller_answer(struct world *world, int index, const struct core_answer *answer);
--- a/tests/runner/network_faults.c
+++ b/tests/runner/network_faults.c
@@ -15,6 +15,7 @@
 
 /* Default of network_faults.duplicate_delay_s. */
 #define DEFAULT_DUPLICATE_DELAY_S 30
+#define CLOSED_REPORT_S 1.0 /* seconds until a machine reports again on a new connection */
 #define MACHINE_PREFIX "machine:"
 /* The beginning of a direct message, up to the fields that an answer has too. */
 #define DIRECT_MESSAGE_HEAD "{\"" W_INCARNATION "\":1,"
@@ -184,6 +185,19 @@
 	hold_messages(world, line, CUT_COMMANDS);
 }
 
+/* close_connection K: machine K closes its connection and forgets the report that it has sent; it
+ * reports again after a second */
+static void close_connection(struct world *world, const struct scenario_line *line)
+{
+	int index = line_integer(line, 1);
+	struct standin_machine *machine = &world->standin.machines[index];
+
+	machine->report_unanswered = false;
+	machine->next_report_at = world->now_s + CLOSED_REPORT_S;
+	controller_connection_closed(world, machine->controller,
+				     report_connection(index, machine->report_sequence));
+}
+
 /* --- copies --- */
 
 /* capture K: saves a copy of the newest report of machine K */
@@ -311,6 +325,7 @@
     {"inbound_partition", 1, partition_inbound},
     {"capture", 1, capture_report},
     {"replay", 1, replay_report},
+    {"close_connection", 1, close_connection},
     {"hold_answers", 1, hold_answers},
     {"hold_commands", 1, hold_commands},
     {"capture_commands", 1, capture_commands},
--- a/tests/runner/requests.c
+++ b/tests/runner/requests.c
@@ -21,13 +21,14 @@
 	return JOB_ARRAY;
 }
 
-static enum job_priority job_priority(const char *word)
+static enum job_priority job_priority(struct world *world, const char *word)
 {
 	static const char *const names[] = {"production", "high", "normal", "low"};
 
 	for (size_t i = 0; i < sizeof(names) / sizeof(*names); i++)
 		if (!strcmp(names[i], word))
 			return (enum job_priority)i;
+	world_fail(world, "unknown priority \"%s\"", word);
 	return PRIO_NORMAL;
 }
 
@@ -47,7 +48,8 @@
 	snprintf(out, size, "%s", line_option(line, name, default_value));
 }
 
-static void parse_job(struct job_spec *spec, const struct scenario_line *line, const char *id)
+static void parse_job(struct world *world, struct job_spec *spec, const struct scenario_line *line,
+		      const char *id)
 {
 	snprintf(spec->id, sizeof(spec->id), "%s", id);
 	copy_option(spec->class_name, sizeof(spec->class_name), line, "class", "any");
@@ -57,7 +59,7 @@
 	if (line_option(line, "type", NULL))
 		name_list_add(&spec->types, line_option(line, "type", ""));
 	spec->kind = job_kind(line_option(line, "kind", "array"));
-	spec->priority = job_priority(line_option(line, "prio", "normal"));
+	spec->priority = job_priority(world, line_option(line, "prio", "normal"));
 	spec->task_count = (uint32_t)line_option_number(line, "tasks", 1);
 	spec->cpus = line_option_number(line, "cpus", 1);
 	spec->gpus = line_option_number(line, "gpus", 0);
@@ -80,7 +82,7 @@
 	if (job)
 		return;
 	job = xcalloc(1, sizeof(*job));
-	parse_job(&job->spec, line, id);
+	parse_job(world, &job->spec, line, id);
 	job->run_s = job->spec.estimate_s;
 	job->accepted_at = -1;
 	job->answered_at = -1;
