Delayed answers: a decision to delete sends what is due; orphaned jobs count as no demand

An answer that renews a lease has to stop what is to end. When a machine is to be deleted, the delayed answer now has all commands that are due but starts, instead of none. Of an orphaned job only the id is known, so that its demand of zero would have made every machine count as needed after a failover that leaves one. The demands that wait are dropped with the term.

--- a/src/core/agents/commands.c
+++ b/src/core/agents/commands.c
@@ -126,10 +126,6 @@
 	}
 }
 
-/*
- * Unbound tasks are stopped first, since they use capacity that the starts need. Forgets come last:
- * nothing waits for them, and many of them must not displace starts and stops.
- */
 bool commands_start_is_due(const struct machine *machine)
 {
 	const struct binding *binding;
@@ -141,6 +137,10 @@
 	return false;
 }
 
+/*
+ * Unbound tasks are stopped first, since they use capacity that the starts need. Forgets come last:
+ * nothing waits for them, and many of them must not displace starts and stops.
+ */
 void commands_collect(struct core *core, struct machine *machine, enum command_channel channel,
 		      struct command_list *list)
 {
--- a/src/core/agents/long_poll.c
+++ b/src/core/agents/long_poll.c
@@ -90,11 +90,12 @@
 	core_reply(core, connection, STATUS_OK, 0, body);
 }
 
-/* Answers the heartbeat with all commands that are due. */
-static void send_answer(struct core *core, struct machine *machine)
+void long_poll_answer(struct core *core, struct machine *machine)
 {
 	struct command_list list;
 
+	if (!long_poll_waits(machine))
+		return;
 	commands_collect(core, machine, CHANNEL_HEARTBEAT, &list);
 	reply(core, remove_poll(core, machine), &list);
 }
@@ -138,5 +139,5 @@
 	struct machine *machine;
 
 	while ((machine = core->agents.long_polls) && machine->long_poll.until <= core->now)
-		send_answer(core, machine);
+		long_poll_answer(core, machine);
 }
--- a/src/core/agents/long_poll.h
+++ b/src/core/agents/long_poll.h
@@ -30,10 +30,12 @@
 /* Commands may have become due. If an answer waits and a start is due, the next call of
  * long_poll_tick sends the answer. */
 void long_poll_check_starts(struct core *core, struct machine *machine);
+/* Answers the heartbeat with all commands that are due, if its answer waits. */
+void long_poll_answer(struct core *core, struct machine *machine);
 /*
- * Answers the heartbeat without commands, if its answer waits: its agent is not to get a start any
- * more, or does not wait for this answer any more. After the end of the term the agent is
- * redirected instead.
+ * Answers the heartbeat without commands, if its answer waits: its agent does not wait for this
+ * answer any more, or the machine is removed. After the end of the term the agent is redirected
+ * instead.
  */
 void long_poll_end(struct core *core, struct machine *machine);
 /* The caller of the connection has closed it. Ends the wait of an answer on it without an answer.
--- a/src/core/agents/machine_health.c
+++ b/src/core/agents/machine_health.c
@@ -69,11 +69,12 @@
 		probe_machine(core, machine);
 }
 
-/* The agent gets no start any more, so the answer to its heartbeat need not wait for one. */
+/* The agent gets no start any more, so the answer to its heartbeat need not wait for one. The
+ * answer renews the lease of the machine's tasks, so it has the stops that are due. */
 void machine_begin_deletion(struct core *core, struct machine *machine)
 {
 	machine->cloud.deleting = true;
-	long_poll_end(core, machine);
+	long_poll_answer(core, machine);
 }
 
 void machine_give_up(struct core *core, struct machine *machine)
--- a/src/core/core.c
+++ b/src/core/core.c
@@ -60,6 +60,7 @@
 	clear_jobs(core);
 	clear_team_usage(core);
 	jobs_watch_clear(core);
+	waiting_demands_clear(core);
 	core->cycles.requested = false;
 	core->cycles.attempt_counter = 0;
 }
--- a/src/core/model/task_demands.c
+++ b/src/core/model/task_demands.c
@@ -33,6 +33,9 @@
 
 void recent_demand_add(struct core *core, const struct job_spec *spec)
 {
+	/* Of an orphaned job only the id is known. */
+	if (spec->cpus <= 0 && spec->gpus <= 0 && spec->mem_gb <= 0)
+		return;
 	demand_list_add(&core->task_demands.recent, spec);
 }
 
--- a/src/core/model/task_demands.h
+++ b/src/core/model/task_demands.h
@@ -31,7 +31,7 @@
 	struct demand_list waiting; /* of the tasks that the newest scheduling cycle left waiting */
 };
 
-/* Records the demand of the tasks of a job that was added. */
+/* Records the demand of the tasks of a job that was added, if they have any. */
 void recent_demand_add(struct core *core, const struct job_spec *spec);
 /* Empties the list of the demands that wait, before a scheduling cycle records them again. */
 void waiting_demands_clear(struct core *core);
