Refused submissions and reports leave a line in the log, at a limited rate

A submission whose text could not be parsed was answered before anything was logged; so was a malformed report.

New event request_refused (level info): kind, job if known, status, reason, length of the body, the offset and a short excerpt, and two counts: all refusals of this process, and those since the last line. At most five lines a second, and all bytes but printable ASCII are dots, so that senders can neither fill the disk nor write lines of their own. wire_parse_at and wire_report_decode_at tell the offset. What is answered does not change.

--- a/src/constants.h
+++ b/src/constants.h
@@ -66,6 +66,11 @@
  * this length has some ten tasks. */
 #define REPORT_CACHE_TEXT_MAX 2048
 
+/* --- log --- */
+
+/* Lines per second about refused requests: a flood of bad requests must not fill a disk. */
+#define REFUSAL_LINES_PER_S 5.0
+
 /* --- operators' settings --- */
 
 /* Largest `idle_patience_s`: a machine kept idle for a day is as good as kept for ever. */
--- a/src/core/agents/heartbeats.c
+++ b/src/core/agents/heartbeats.c
@@ -143,13 +143,30 @@
 				   request->body, request->len, report);
 }
 
+/* The answer "report" means that the report is malformed. */
+static void refuse_report(struct core *core, const struct core_request *request, size_t failed_at)
+{
+	const struct refusal refusal = {
+	    .kind = "report",
+	    .job = "-",
+	    .status = STATUS_BAD_REQUEST,
+	    .reason = "report",
+	    .body = request->body,
+	    .len = request->len,
+	    .failed_at = failed_at,
+	};
+
+	core_log_refusal(core, &refusal);
+	core_reply_error(core, request->connection, refusal.status, 0, refusal.reason);
+}
+
 static void decode_and_answer(struct core *core, const struct core_request *request)
 {
 	struct report report;
+	size_t failed_at;
 
-	if (wire_report_decode(request->body, request->len, &report)) {
-		/* Meaning: the report is malformed. */
-		core_reply_error(core, request->connection, STATUS_BAD_REQUEST, 0, "report");
+	if (wire_report_decode_at(request->body, request->len, &report, &failed_at)) {
+		refuse_report(core, request, failed_at);
 		return;
 	}
 	if (answer_report(core, request->connection, &report))
--- a/src/core/api/submissions.c
+++ b/src/core/api/submissions.c
@@ -274,19 +274,35 @@
 		user_request_lookup(core, request);
 }
 
+/*
+ * Without a valid id, the job can't have been accepted before, so no lookup is needed. The error
+ * text is "not JSON" if the body can't be parsed, else W_ID, the name of the invalid field.
+ */
+static void refuse_without_id(struct core *core, const struct core_request *received, bool is_json,
+			      size_t failed_at)
+{
+	const struct refusal refusal = {
+	    .kind = "submission",
+	    .job = "-",
+	    .status = STATUS_BAD_REQUEST,
+	    .reason = is_json ? W_ID : "not JSON",
+	    .body = received->body,
+	    .len = received->len,
+	    .failed_at = failed_at,
+	};
+
+	core_log_refusal(core, &refusal);
+	core_reply_error(core, received->connection, refusal.status, 0, refusal.reason);
+}
+
 void submissions_receive(struct core *core, const struct core_request *received)
 {
-	json_t *document = wire_parse(received->body, received->len);
+	size_t failed_at;
+	json_t *document = wire_parse_at(received->body, received->len, &failed_at);
 	const char *id = json_string_value(json_object_get(document, W_ID));
 
-	/*
-	 * Without a valid id, the job can't have been accepted before, so no lookup is needed. The
-	 * error text is "not JSON" if the body can't be parsed, else W_ID, the name of the invalid
-	 * field.
-	 */
 	if (!id || !wire_job_id_is_valid(id)) {
-		core_reply_error(core, received->connection, STATUS_BAD_REQUEST, 0,
-				 document ? W_ID : "not JSON");
+		refuse_without_id(core, received, document != NULL, failed_at);
 	} else {
 		log_debug("submission", "body=%.600s", received->body);
 		receive_document(core, received, id, document);
--- a/src/core/api/user_requests.c
+++ b/src/core/api/user_requests.c
@@ -102,9 +102,30 @@
 	fail_with(core, request, user_errors[error]);
 }
 
+/* The offset of the field in the body as its name is usually spelled; 0 if it is not found. */
+static size_t field_offset(const char *body, const char *field)
+{
+	const char *found = strstr(body, field);
+
+	return found ? (size_t)(found - body) : 0;
+}
+
 void user_request_reject(struct core *core, struct user_request *request)
 {
-	fail_with(core, request, admission_error(&request->admission));
+	struct error_reply reply = admission_error(&request->admission);
+	const char *field = request->admission.malformed_field;
+	const struct refusal refusal = {
+	    .kind = "submission",
+	    .job = request->id,
+	    .status = reply.status,
+	    .reason = reply.text,
+	    .body = request->body,
+	    .len = strlen(request->body),
+	    .failed_at = field ? field_offset(request->body, field) : 0,
+	};
+
+	core_log_refusal(core, &refusal);
+	fail_with(core, request, reply);
 }
 
 void user_request_forward_or_fail(struct core *core, struct user_request *request,
--- a/src/core/state.h
+++ b/src/core/state.h
@@ -15,6 +15,7 @@
 #include "core/core.h"
 #include "core/runtime/call.h"
 #include "core/runtime/events.h"
+#include "core/runtime/refusal_log.h"
 #include "core/store/store_client.h"
 #include "core/election/election.h"
 #include "core/election/format_gate.h"
@@ -52,7 +53,8 @@
 	struct core_action *actions; /* outputs not yet taken by the caller, oldest first */
 	struct call *calls;	     /* hash table by id of the calls that have not ended */
 	uint64_t next_call;	     /* id of the next call */
-	uint64_t term;		     /* counts the starts and the ends of this controller's terms */
+	struct refusal_log refusals;
+	uint64_t term; /* counts the starts and the ends of this controller's terms */
 
 	struct election election;
 	struct format_gate format;
--- a/src/wire/json_text.h
+++ b/src/wire/json_text.h
@@ -12,6 +12,10 @@
  */
 json_t *wire_parse(const char *body, size_t len);
 
+/* Like wire_parse. After NULL, `*failed_at` is the offset in the text at which parsing failed, at
+ * most `len`; else it is 0. */
+json_t *wire_parse_at(const char *body, size_t len, size_t *failed_at);
+
 /* Returns the compact text of an object or array, which the caller frees, and releases the value.
  */
 char *wire_serialize(json_t *value);
--- a/src/wire/report_codec.c
+++ b/src/wire/report_codec.c
@@ -110,7 +110,14 @@
 
 int wire_report_decode(const char *body, size_t len, struct report *report)
 {
-	json_t *object = wire_parse(body, len);
+	size_t failed_at;
+
+	return wire_report_decode_at(body, len, report, &failed_at);
+}
+
+int wire_report_decode_at(const char *body, size_t len, struct report *report, size_t *failed_at)
+{
+	json_t *object = wire_parse_at(body, len, failed_at);
 	int refused;
 
 	memset(report, 0, sizeof(*report));
--- a/src/wire/report_codec.h
+++ b/src/wire/report_codec.h
@@ -79,6 +79,10 @@
  */
 int wire_report_decode(const char *body, size_t len, struct report *report);
 
+/* Like wire_report_decode. After -1, `*failed_at` is the offset at which the text is not JSON; 0 if
+ * it is JSON. */
+int wire_report_decode_at(const char *body, size_t len, struct report *report, size_t *failed_at);
+
 /* Frees the tasks of a report, not the report itself. */
 void wire_report_free(struct report *report);
 
