A field that nobody reads is no reason to refuse a message

What callers saw: a sound submission, with "n": in an unknown field, got 400 "not JSON" and was not retried.

Cause: a check in the wrong place. jansson turns each value of a text into one of its own and refuses the text if one does not fit: integers beyond 64 bits signed, 1e400, an escaped NUL or lone surrogate, a name twice, more than 2,048 levels. It can't be told not to. So the limits of our representation decided about fields that we never read.

Now yajl parses (src/wire/json_parser.c, the only place where JSON enters, for users, agents, cloud and state service): it passes on numbers as spelled and does not recurse. Values that can't be kept become an empty object, which no reader of a field accepts; so does a name that comes twice, and whatever is nested deeper than 32 levels. A field that is read is therefore judged as strictly as before, in some places more so: motivo, kept and avisoS of a report must have their type. Counts, tokens and versions go up to 2^64 - 1, as the protocol says, and may be spelled 2.0 or 2e0, which is the same number. yajl accepts some texts that are no UTF-8; jansson's check of each string refuses them as before.

yajl replaces lone surrogates by a question mark, so texts with escapes are decoded by jansson from the token itself.

--- a/src/constants.h
+++ b/src/constants.h
@@ -56,6 +56,10 @@
 
 /* --- messages --- */
 
+/* Nesting of the JSON values that are kept: the records of the deepest message have 6 levels. */
+#define JSON_NESTING_MAX 32
+/* Below this, a double holds each integer exactly. */
+#define EXACT_INTEGER_MAX 9007199254740992.0
 /* Tasks of one job, as the protocol limits them. */
 #define JOB_TASKS_MAX 100000
 /* An amount of this size or more in a message is a mistake: 30 years in seconds, or a billion CPUs.
--- a/src/wire/cloud_codec.c
+++ b/src/wire/cloud_codec.c
@@ -6,6 +6,7 @@
 
 #include "util/xalloc.h"
 #include "wire/json_fields.h"
+#include "wire/json_parser.h"
 #include "wire/json_text.h"
 #include "wire/names.h"
 
--- a/src/wire/json_fields.c
+++ b/src/wire/json_fields.c
@@ -24,14 +24,22 @@
 	return *out ? 0 : -1;
 }
 
-int field_number(const json_t *object, const char *key, double *out)
+int field_finite_number(const json_t *object, const char *key, double *out)
 {
 	const json_t *value = json_object_get(object, key);
 
-	if (!json_is_number(value))
+	if (json_is_integer(value))
+		*out = (double)(uint64_t)json_integer_value(value);
+	else
+		*out = json_real_value(value);
+	return json_is_number(value) && isfinite(*out) ? 0 : -1;
+}
+
+int field_number(const json_t *object, const char *key, double *out)
+{
+	if (field_finite_number(object, key, out))
 		return -1;
-	*out = json_number_value(value);
-	return isfinite(*out) && *out >= 0 && *out < WIRE_NUMBER_MAX ? 0 : -1;
+	return *out >= 0 && *out < WIRE_NUMBER_MAX ? 0 : -1;
 }
 
 double field_number_or(const json_t *object, const char *key, double fallback)
@@ -44,10 +52,15 @@
 int field_count(const json_t *object, const char *key, uint64_t *out)
 {
 	const json_t *value = json_object_get(object, key);
+	double real = json_real_value(value);
 
-	if (!json_is_integer(value) || json_integer_value(value) < 0)
+	if (json_is_integer(value)) {
+		*out = (uint64_t)json_integer_value(value);
+		return 0;
+	}
+	if (!json_is_real(value) || real < 0 || real >= EXACT_INTEGER_MAX || real != floor(real))
 		return -1;
-	*out = (uint64_t)json_integer_value(value);
+	*out = (uint64_t)real;
 	return 0;
 }
 
--- a/src/wire/json_fields.h
+++ b/src/wire/json_fields.h
@@ -36,6 +36,9 @@
 /* Like field_text, but the text must not be empty. */
 int field_nonempty_text(const json_t *object, const char *key, char *out, size_t capacity);
 
+/* Reads a number of any sign. */
+int field_finite_number(const json_t *object, const char *key, double *out);
+
 /* Reads a number from 0 to below WIRE_NUMBER_MAX. */
 int field_number(const json_t *object, const char *key, double *out);
 
@@ -43,7 +46,8 @@
  * invalid. */
 double field_number_or(const json_t *object, const char *key, double fallback);
 
-/* Reads an integer of at least 0. */
+/* Reads an integer from 0 to 2^64 - 1, or below EXACT_INTEGER_MAX if it is spelled with a fraction
+ * or an exponent, such as 2.0. */
 int field_count(const json_t *object, const char *key, uint64_t *out);
 
 /* Returns the integer that field_count would read, or 0 if the field is missing or invalid. */
--- a/src/wire/report_codec.c
+++ b/src/wire/report_codec.c
@@ -8,6 +8,7 @@
 #include "constants.h"
 #include "util/xalloc.h"
 #include "wire/json_fields.h"
+#include "wire/json_parser.h"
 #include "wire/json_text.h"
 #include "wire/names.h"
 
@@ -58,26 +59,32 @@
 	return 0;
 }
 
+/* Decodes how the task ended. A reason that is a text, but none of end_reasons, is END_NONE. */
+static int decode_end(const json_t *object, struct report_task *task)
+{
+	int reason = field_enum(object, W_END_REASON, &end_reasons);
+
+	if (!field_is_absent(object, W_END_REASON) && !field_string(object, W_END_REASON))
+		return -1;
+	task->end_reason = reason < 0 ? END_NONE : (enum task_end_reason)reason;
+	return field_is_absent(object, W_SAVED) ? 0 : field_bool(object, W_SAVED, &task->saved);
+}
+
 static int decode_task(const json_t *object, void *out)
 {
 	struct report_task *task = out;
 	int state = field_enum(object, W_STATE, &task_states);
-	int reason = field_enum(object, W_END_REASON, &end_reasons);
 
 	if (decode_task_name(field_string(object, W_TASK), task->job, &task->task) ||
 	    field_count(object, W_ATTEMPT, &task->attempt) || state < 0)
 		return -1;
 	task->state = (enum task_state)state;
-	task->end_reason = reason < 0 ? END_NONE : (enum task_end_reason)reason;
-	task->saved = field_is_true(object, W_SAVED);
-	return 0;
+	return decode_end(object, task);
 }
 
 /* Decodes the fields of a report about the machine itself. */
 static int decode_machine(const json_t *object, struct report *report)
 {
-	const json_t *notice = json_object_get(object, W_PREEMPTION_NOTICE);
-
 	if (field_nonempty_text(object, W_MACHINE, report->machine, sizeof(report->machine)) ||
 	    field_text(object, W_ADDR, report->addr, sizeof(report->addr)) ||
 	    field_text(object, W_MACHINE_TYPE, report->type, sizeof(report->type)) ||
@@ -87,8 +94,10 @@
 	    field_count(object, W_SEQUENCE, &report->sequence) ||
 	    field_count(object, W_TOKEN, &report->token))
 		return -1;
-	report->notice_s = json_is_number(notice) ? json_number_value(notice) : -1;
-	return 0;
+	report->notice_s = -1;
+	if (field_is_absent(object, W_PREEMPTION_NOTICE))
+		return 0;
+	return field_finite_number(object, W_PREEMPTION_NOTICE, &report->notice_s);
 }
 
 /*
--- a/src/wire/wire.h
+++ b/src/wire/wire.h
@@ -4,6 +4,7 @@
 
 #include "wire/cloud_codec.h"
 #include "wire/job_codec.h"
+#include "wire/json_parser.h"
 #include "wire/json_text.h"
 #include "wire/name_list.h"
 #include "wire/report_codec.h"
--- a/tests/unit/test_job_json.c
+++ b/tests/unit/test_job_json.c
@@ -8,6 +8,7 @@
  */
 #include "support.h"
 
+#include <stdio.h>
 #include <string.h>
 
 #include "wire/names.h"
@@ -104,6 +105,98 @@
 	assert_int_equal(failures, 0);
 }
 
+/* Returns whether the job is accepted, and ends in this text instead of its closing brace. */
+static bool accepted_ending_in(const char *end)
+{
+	char text[1024];
+	int len =
+	    snprintf(text, sizeof(text), "%.*s,%s", (int)sizeof(valid_job) - 2, valid_job, end);
+
+	assert_in_range(len, 1, sizeof(text) - 1);
+	return accepted(wire_parse(text, (size_t)len));
+}
+
+/* Fields that are read have one value each, and it must be one that can be kept. */
+static void test_unreadable_values_refused(void **state)
+{
+	static const char *const ends[] = {
+	    "\"partes\":3}",
+	    "\"praca\":null}",
+	    "\"prazoS\":null,\"prazoS\":5}",
+	    "\"feitiosMaquina\":[\"g\"]}",
+	    "\"u\\u0069d\":\"job-1\"}",
+	};
+	static const struct {
+		const char *field;
+		const char *value;
+	} cases[] = {
+	    {"grupo", "\"t\\u0000\""},
+	    {"molde", "\"i\\ud800\""},
+	    {"uid", "\"job-1\\u0000\""},
+	    {"praca", "\"\\udc00\""},
+	    {"prazoS", "1e400"},
+	    {"partes", "18446744073709551616"},
+	    {"partes", "-18446744073709551613"},
+	    {"partes", "2.5"},
+	    {"feitiosMaquina", "[\"g\\u0000\"]"},
+	};
+	int failures = 0;
+
+	(void)state;
+	for (size_t i = 0; i < ARRAY_LENGTH(ends); i++)
+		failures += count_mismatch(ends[i], accepted_ending_in(ends[i]), false);
+	for (size_t i = 0; i < ARRAY_LENGTH(cases); i++) {
+		char other[128];
+		json_t *job = valid_job_json(), *members;
+
+		snprintf(other, sizeof(other), "{\"%s\":%s}", cases[i].field, cases[i].value);
+		members = wire_parse(other, strlen(other));
+		assert_non_null(members);
+		json_object_update(job, members);
+		json_decref(members);
+		failures += count_mismatch(other, accepted(job), false);
+	}
+	assert_int_equal(failures, 0);
+}
+
+/* Numbers and texts have many spellings; each stands for the same job. */
+static void test_spellings_accepted(void **state)
+{
+	static const struct {
+		const char *name;
+		const char *text;
+	} cases[] = {
+	    {"escapes",
+	     "{\"u\\u0069d\":\"\\u006aob-1\",\"naipe\":\"c\",\"grupo\":\"\\u0074\",\"feitio\":"
+	     "\"\\u0061rray\",\"vez\":\"normal\",\"partes\":3,\"cores\":1,\"gpus\":0,\"memGb\":2,"
+	     "\"molde\":\"i\",\"pullGb\":1,\"together\":false,\"scatter\":false,\"avulsas\":true,"
+	     "\"previstoS\":10,\"marcoS\":0,\"gravarS\":0}"},
+	    {"numbers",
+	     "{\"uid\":\"job-1\",\"naipe\":\"c\",\"grupo\":\"t\",\"feitio\":\"array\",\"vez\":"
+	     "\"normal\",\"partes\":30e-1,\"cores\":0.1E+1,\"gpus\":-0.0,\"memGb\":2e0,\"molde\":"
+	     "\"i\","
+	     "\"pullGb\":1.000,\"together\":false,\"scatter\":false,\"avulsas\":true,\"previstoS\":"
+	     "100e-1,\"marcoS\":-0,\"gravarS\":0e9}"},
+	};
+
+	(void)state;
+	for (size_t i = 0; i < ARRAY_LENGTH(cases); i++) {
+		json_t *job = wire_parse(cases[i].text, strlen(cases[i].text));
+		struct job_spec spec;
+		const char *why;
+
+		print_message("%s\n", cases[i].name);
+		assert_int_equal(wire_job_decode(job, &spec, &why), 0);
+		assert_string_equal(spec.id, "job-1");
+		assert_string_equal(spec.team, "t");
+		assert_int_equal(spec.task_count, 3);
+		assert_true(spec.cpus == 1 && spec.gpus == 0 && spec.mem_gb == 2);
+		assert_true(spec.estimate_s == 10 && spec.checkpoint_s == 0);
+		wire_job_free(&spec);
+		json_decref(job);
+	}
+}
+
 static void test_missing_fields_refused(void **state)
 {
 	static const char *const required[] = {
@@ -173,6 +266,8 @@
 	static const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(test_unknown_field_ignored),
 	    cmocka_unit_test(test_wrong_values_refused),
+	    cmocka_unit_test(test_unreadable_values_refused),
+	    cmocka_unit_test(test_spellings_accepted),
 	    cmocka_unit_test(test_missing_fields_refused),
 	    cmocka_unit_test(test_optional_fields_may_be_missing),
 	    cmocka_unit_test(test_decoded_job_encodes_to_the_same),
