Requests are accepted in all spellings that HTTP/1.1 asks a server to accept

What callers saw: 400 "bad request", which users do not retry, for sound submissions with a chunked body or an absolute request target; 404 for the state of an accepted job if the path was percent-encoded or had a query; a wait of about a second for senders that expect "100 Continue".

Now accepted: chunked bodies in requests and in responses of the cloud and the state service, with extensions and trailers (src/net/http_chunks.c: decoded in place as chunks arrive, each byte once, no more memory than a body); absolute targets; empty lines before a request; any minor version of HTTP/1; lengths with leading zeros; lists of connection options. "100 Continue" is sent. The controller decodes percent-encoded characters that need no encoding and drops queries (src/net/http_target.c). A large head gets 431, a long target 414 and an unknown transfer encoding 501, which users retry, in place of 400. Still refused: a length together with chunks, chunks with HTTP/1.0, contradicting lengths, since such a message could count as two. Input beyond the limit is answered 413 where it was only closed.

New event http_rejected, at most one a second.

An endless head is HTTP_HEAD_TOO_LARGE (431), not HTTP_BAD.

--- a/daemon/controller.c
+++ b/daemon/controller.c
@@ -12,6 +12,7 @@
 
 #include "constants.h"
 #include "core/core.h"
+#include "net/http_target.h"
 #include "net/net.h"
 #include "open_files.h"
 #include "util/log.h"
@@ -30,15 +31,17 @@
 			   const char *method, const char *path, const char *body, size_t body_len)
 {
 	struct controller *controller = context;
+	char plain_path[HTTP_PATH_MAX];
 	struct core_request request = {
 	    .connection = connection,
 	    .side = side == NET_FRONT ? CORE_FRONT : CORE_BACK,
 	    .method = method,
-	    .path = path,
+	    .path = plain_path,
 	    .body = body,
 	    .len = body_len,
 	};
 
+	http_target_path(path, plain_path);
 	core_request(controller->core, current_time(), &request);
 }
 
--- a/src/constants.h
+++ b/src/constants.h
@@ -46,6 +46,8 @@
 
 /* Bytes of a request line with its headers. Our own requests have a few hundred. */
 #define HTTP_HEAD_MAX 8192
+/* Bytes of the line before a chunk of a body: its size and extensions, which are ignored. */
+#define HTTP_CHUNK_LINE_MAX 256
 /* Bytes of a path: the longest holds a key of 200 bytes and a query. */
 #define HTTP_PATH_MAX 512
 /* Bytes of a request's body from users and agents, as the protocol limits them. */
@@ -74,6 +76,8 @@
 
 /* Lines per second about refused requests: a flood of bad requests must not fill a disk. */
 #define REFUSAL_LINES_PER_S 5.0
+/* Time between two lines about requests that are not HTTP or too large, for the same reason. */
+#define REJECTION_LINE_INTERVAL_S 1.0
 
 /* --- operators' settings --- */
 
--- a/src/net/client_pool.c
+++ b/src/net/client_pool.c
@@ -96,6 +96,7 @@
 	if (connection->state == CLIENT_IDLE)
 		connection->state = CLIENT_CALLING;
 	connection->call_id = call_id;
+	connection->decoded_len = 0;
 	connection->deadline_at = deadline_at;
 	DL_APPEND(pool->calls, connection);
 }
--- a/src/net/client_pool.h
+++ b/src/net/client_pool.h
@@ -34,6 +34,7 @@
 	struct connection base; /* must be first, see connection.h */
 	enum client_state state;
 	uint64_t call_id;   /* id of the call under way */
+	size_t decoded_len; /* bytes of its chunked response that are decoded, see http_chunks.h */
 	double deadline_at; /* when the call under way ends without a reply */
 	double idle_since;  /* when the last call ended; valid while idle */
 	struct endpoint *endpoint;
--- a/src/net/connection.c
+++ b/src/net/connection.c
@@ -82,8 +82,10 @@
 
 		if (received < 0 && errno == EAGAIN)
 			return CONNECTION_OK;
-		if (received <= 0 || connection->input.len > input_max)
+		if (received <= 0)
 			return CONNECTION_BROKEN;
+		if (connection->input.len > input_max)
+			return CONNECTION_FULL;
 		if (received < NET_READ_CHUNK_BYTES && extent == READ_AVAILABLE)
 			return CONNECTION_OK;
 	}
--- a/src/net/connection.h
+++ b/src/net/connection.h
@@ -25,8 +25,10 @@
 /* The result of a read or write on a connection. */
 enum connection_result {
 	CONNECTION_OK,
-	/* The other side closed the connection or sent too much, or the connection failed. The
-	 * caller has to close the connection. */
+	/* The input is longer than the caller allows. Bytes may be left in the socket. */
+	CONNECTION_FULL,
+	/* The other side closed the connection, or the connection failed. The caller has to close
+	 * the connection. */
 	CONNECTION_BROKEN
 };
 
@@ -81,7 +83,7 @@
 
 /*
  * Reads from the socket and appends to `input`. A NUL follows the contents of `input` in memory.
- * The connection counts as broken if `input` gets longer than `input_max` bytes.
+ * Stops with CONNECTION_FULL once `input` is longer than `input_max` bytes.
  */
 enum connection_result connection_read(struct connection *connection, size_t input_max,
 				       enum read_extent extent);
--- a/src/net/http.c
+++ b/src/net/http.c
@@ -1,6 +1,7 @@
 /*
- * Parses HTTP/1.1 messages line by line. A message with contradicting lengths or a transfer
- * encoding is rejected: otherwise it could count as two messages (request smuggling).
+ * Parses HTTP/1.1 messages line by line, by RFC 9112. A message with contradicting lengths, or with
+ * both a length and a transfer encoding, is rejected: otherwise it could count as two messages
+ * (request smuggling).
  */
 #include "net/http.h"
 
@@ -13,6 +14,7 @@
 
 #define VERSION_PREFIX "HTTP/1."
 #define VERSION_LEN (sizeof(VERSION_PREFIX "1") - 1)
+#define SCHEME_PREFIX "http://"
 #define ASCII_DELETE 0x7f
 #define STATUS_DIGITS 3
 #define STATUS_LINE_LEN_MIN (VERSION_LEN + 1 + STATUS_DIGITS)
@@ -29,7 +31,8 @@
 /* Facts from the headers parsed so far that struct http_msg does not contain. */
 struct header_state {
 	bool has_length;
-	bool has_transfer_encoding;
+	bool is_chunked;
+	bool has_unsupported_encoding;
 };
 
 /* The bytes from `from` to before `to`. */
@@ -84,7 +87,29 @@
 	return span.len > 0 && span.at[0] == '/';
 }
 
-/* Parses "HTTP/1.0" or "HTTP/1.1". With 1.0 the sender closes the connection after the exchange,
+/*
+ * Reduces a target in absolute form, "http://AUTHORITY/PATH", to its path and query. A target in
+ * another form stays as it is.
+ */
+static struct span remove_authority(struct span target)
+{
+	size_t prefix = strlen(SCHEME_PREFIX);
+	struct span rest;
+	size_t authority = 0;
+
+	if (target.len <= prefix || strncasecmp(target.at, SCHEME_PREFIX, prefix))
+		return target;
+	rest = span_after(target, prefix);
+	while (authority < rest.len && rest.at[authority] != '/' && rest.at[authority] != '?')
+		authority++;
+	if (!authority)
+		return target;
+	if (authority == rest.len || rest.at[authority] == '?')
+		return (struct span){"/", 1};
+	return span_after(rest, authority);
+}
+
+/* Parses "HTTP/1.x" with any digit. With 1.0 the sender closes the connection after the exchange,
  * unless a later Connection header says keep-alive. */
 static int parse_version(struct http_msg *msg, struct span version)
 {
@@ -94,8 +119,9 @@
 	    memcmp(version.at, VERSION_PREFIX, strlen(VERSION_PREFIX)))
 		return -1;
 	minor = version.at[VERSION_LEN - 1];
-	msg->close = minor == '0';
-	return minor == '0' || minor == '1' ? 0 : -1;
+	msg->is_version_1_0 = minor == '0';
+	msg->close = msg->is_version_1_0;
+	return isdigit((unsigned char)minor) ? 0 : -1;
 }
 
 /* Parses a method, which consists of upper-case letters. */
@@ -111,7 +137,7 @@
 	return 0;
 }
 
-/* Parses "METHOD PATH HTTP/1.x". */
+/* Parses "METHOD TARGET HTTP/1.x". */
 static int parse_request_line(struct http_msg *msg, struct span line)
 {
 	const char *end = line.at + line.len;
@@ -124,7 +150,7 @@
 	path_end = memchr(method_end + 1, ' ', (size_t)(end - method_end - 1));
 	if (!path_end)
 		return -1;
-	path = span_between(method_end + 1, path_end);
+	path = remove_authority(span_between(method_end + 1, path_end));
 	if (!is_path(path))
 		return -1;
 	msg->path = path.at;
@@ -146,7 +172,8 @@
 			return -1;
 		msg->status = msg->status * 10 + (digits[i] - '0');
 	}
-	msg->close = line.at[VERSION_LEN - 1] == '0';
+	msg->is_version_1_0 = line.at[VERSION_LEN - 1] == '0';
+	msg->close = msg->is_version_1_0;
 	return 0;
 }
 
@@ -155,6 +182,8 @@
 {
 	size_t length = 0;
 
+	while (digits.len > 1 && digits.at[0] == '0')
+		digits = span_after(digits, 1);
 	if (digits.len == 0 || digits.len > CONTENT_LENGTH_DIGITS_MAX)
 		return -1;
 	for (size_t i = 0; i < digits.len; i++) {
@@ -179,6 +208,42 @@
 	return 0;
 }
 
+/* Removes the next element of a comma-separated list from the front of `list`, and sets `element`
+ * to it without blanks. Returns false at the end of the list. */
+static bool next_element(struct span *list, struct span *element)
+{
+	const char *comma;
+
+	if (!list->len)
+		return false;
+	comma = memchr(list->at, ',', list->len);
+	*element = span_trim(comma ? span_between(list->at, comma) : *list);
+	*list = comma ? span_after(*list, (size_t)(comma - list->at) + 1)
+		      : span_after(*list, list->len);
+	return true;
+}
+
+/* Parses the options of a Connection header. Those that do not matter here are ignored. */
+static void parse_connection(struct http_msg *msg, struct span value)
+{
+	struct span option;
+
+	while (next_element(&value, &option)) {
+		if (span_is(option, "close"))
+			msg->close = 1;
+		else if (span_is(option, "keep-alive"))
+			msg->close = 0;
+	}
+}
+
+/* Parses a Transfer-Encoding, of which only "chunked", given once, is supported. */
+static void parse_transfer_encoding(struct header_state *state, struct span value)
+{
+	if (!span_is(value, "chunked") || state->is_chunked)
+		state->has_unsupported_encoding = true;
+	state->is_chunked = true;
+}
+
 /* Parses "NAME: VALUE". Headers that do not matter here are ignored. */
 static int parse_header(struct http_msg *msg, struct header_state *state, struct span line)
 {
@@ -194,17 +259,17 @@
 	if (span_is(name, "content-length"))
 		return parse_content_length(msg, state, value);
 	if (span_is(name, "transfer-encoding"))
-		state->has_transfer_encoding = true;
-	else if (span_is(name, "connection") && span_is(value, "close"))
-		msg->close = 1;
-	else if (span_is(name, "connection") && span_is(value, "keep-alive"))
-		msg->close = 0;
+		parse_transfer_encoding(state, value);
+	else if (span_is(name, "connection"))
+		parse_connection(msg, value);
+	else if (span_is(name, "expect") && span_is(value, "100-continue"))
+		msg->expects_continue = !msg->is_version_1_0;
 	return 0;
 }
 
 /*
  * Removes the next line from the front of `rest`, and sets `line` to it without its LF or CR LF.
- * Returns HTTP_INCOMPLETE if the line is incomplete, and HTTP_BAD if it ends more than
+ * Returns HTTP_INCOMPLETE if the line is incomplete, and HTTP_HEAD_TOO_LARGE if it ends more than
  * HTTP_HEAD_MAX bytes after `head`, where the message starts.
  */
 static enum http_result next_line(const char *head, struct span *rest, struct span *line)
@@ -212,10 +277,10 @@
 	const char *newline = memchr(rest->at, '\n', rest->len);
 
 	if (!newline)
-		return (size_t)(rest->at - head) + rest->len > HTTP_HEAD_MAX ? HTTP_BAD
+		return (size_t)(rest->at - head) + rest->len > HTTP_HEAD_MAX ? HTTP_HEAD_TOO_LARGE
 									     : HTTP_INCOMPLETE;
 	if ((size_t)(newline - head) > HTTP_HEAD_MAX)
-		return HTTP_BAD;
+		return HTTP_HEAD_TOO_LARGE;
 	*line = span_between(rest->at, newline);
 	*rest = span_after(*rest, line->len + 1);
 	if (line->len && line->at[line->len - 1] == '\r')
@@ -223,30 +288,59 @@
 	return HTTP_OK;
 }
 
+/* Parses the first line. A request may come after empty lines. */
+static enum http_result parse_start_line(struct http_msg *msg, const char *head, struct span *rest,
+					 enum http_message_kind kind)
+{
+	struct span line;
+	enum http_result result = next_line(head, rest, &line);
+	int refused;
+
+	while (kind == HTTP_REQUEST && result == HTTP_OK && !line.len)
+		result = next_line(head, rest, &line);
+	if (result != HTTP_OK)
+		return result;
+	if (kind == HTTP_RESPONSE)
+		refused = parse_status_line(msg, line);
+	else
+		refused = parse_request_line(msg, line);
+	return refused ? HTTP_BAD : HTTP_OK;
+}
+
+/* Parses the headers up to the empty line behind them. */
+static enum http_result parse_headers(struct http_msg *msg, struct header_state *state,
+				      const char *head, struct span *rest)
+{
+	struct span line;
+	enum http_result result;
+
+	while ((result = next_line(head, rest, &line)) == HTTP_OK && line.len)
+		if (parse_header(msg, state, line))
+			return HTTP_BAD;
+	return result;
+}
+
 enum http_result http_parse(struct http_msg *msg, const char *data, size_t len,
 			    enum http_message_kind kind, size_t max_body)
 {
 	struct header_state state = {0};
-	struct span rest = {data, len}, line;
+	struct span rest = {data, len};
 	enum http_result result;
 
 	memset(msg, 0, sizeof(*msg));
-	result = next_line(data, &rest, &line);
-	if (result != HTTP_OK)
-		return result;
-	if ((kind == HTTP_RESPONSE ? parse_status_line : parse_request_line)(msg, line))
-		return HTTP_BAD;
-	while ((result = next_line(data, &rest, &line)) == HTTP_OK && line.len)
-		if (parse_header(msg, &state, line))
-			return HTTP_BAD;
+	result = parse_start_line(msg, data, &rest, kind);
+	if (result == HTTP_OK)
+		result = parse_headers(msg, &state, data, &rest);
 	if (result != HTTP_OK)
 		return result;
-	/* No sender here uses chunked bodies. Guessing where such a body ends would let one message
-	 * count as two. */
-	if (state.has_transfer_encoding)
+	if (state.is_chunked && (state.has_length || msg->is_version_1_0))
 		return HTTP_BAD;
+	if (state.has_unsupported_encoding)
+		return HTTP_UNSUPPORTED;
 	msg->head_len = (size_t)(rest.at - data);
 	msg->body = rest.at;
+	if (state.is_chunked)
+		return HTTP_CHUNKED;
 	if (msg->body_len > max_body)
 		return HTTP_TOO_LARGE;
 	return rest.len >= msg->body_len ? HTTP_OK : HTTP_INCOMPLETE;
@@ -267,12 +361,18 @@
 		return "Method Not Allowed";
 	case 413:
 		return "Payload Too Large";
+	case 414:
+		return "URI Too Long";
 	case 421:
 		return "Misdirected Request";
 	case 422:
 		return "Unprocessable Entity";
 	case 429:
 		return "Too Many Requests";
+	case 431:
+		return "Request Header Fields Too Large";
+	case 501:
+		return "Not Implemented";
 	case 503:
 		return "Service Unavailable";
 	default:
--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -10,8 +10,12 @@
 #include "constants.h"
 #include "net/clock.h"
 #include "net/http.h"
+#include "net/http_chunks.h"
 #include "net/tcp.h"
 
+/* Bytes of input that may wait: a head and a body, and a chunk's line or a trailer. */
+#define RESPONSE_INPUT_MAX (HTTP_HEAD_MAX + HTTP_REPLY_MAX + HTTP_HEAD_MAX)
+
 /* Tells the callback that a call ended without a response. */
 static void report_failure(struct http_client *client, uint64_t call_id,
 			   enum net_call_failure failure)
@@ -115,29 +119,43 @@
 	buf_free(&received);
 }
 
+/* Parses the response at the start of the input. */
+static enum http_result parse_response(struct client_connection *connection,
+				       struct http_msg *response)
+{
+	struct buf *input = &connection->base.input;
+	enum http_result result =
+	    http_parse(response, buf_contents(input), input->len, HTTP_RESPONSE, HTTP_REPLY_MAX);
+	size_t len = input->len - response->head_len;
+
+	if (result != HTTP_CHUNKED)
+		return result;
+	result = http_chunks_decode(buf_contents(input) + response->head_len, &len,
+				    &connection->decoded_len, HTTP_REPLY_MAX);
+	input->len = response->head_len + len;
+	response->body_len = connection->decoded_len;
+	/* The callback needs a NUL behind the body, where a removed line was. */
+	if (result == HTTP_OK)
+		buf_contents(input)[response->head_len + response->body_len] = 0;
+	return result;
+}
+
 /* Handles the bytes received so far on the connection. */
 static void handle_input(struct http_client *client, struct client_connection *connection)
 {
-	const struct buf *input = &connection->base.input;
 	struct http_msg response;
+	enum http_result result;
 
 	if (connection->state == CLIENT_IDLE) {
 		/* No request was sent, so these bytes belong to none. */
 		client_pool_close(client->pool, connection);
 		return;
 	}
-	switch (
-	    http_parse(&response, buf_contents(input), input->len, HTTP_RESPONSE, HTTP_REPLY_MAX)) {
-	case HTTP_INCOMPLETE:
-		break;
-	case HTTP_OK:
+	result = parse_response(connection, &response);
+	if (result == HTTP_OK)
 		deliver_response(client, connection, &response);
-		break;
-	case HTTP_BAD:
-	case HTTP_TOO_LARGE:
+	else if (result != HTTP_INCOMPLETE || connection->base.input.len > RESPONSE_INPUT_MAX)
 		fail_call(client, connection);
-		break;
-	}
 }
 
 /* Returns true if the connection is established. Otherwise the connection is still being made, or
@@ -171,8 +189,7 @@
 	}
 	if (!(events & (EPOLLIN | EPOLLERR | EPOLLHUP)))
 		return;
-	if (connection_read(base, HTTP_REPLY_MAX + HTTP_HEAD_MAX, READ_AVAILABLE) ==
-	    CONNECTION_BROKEN)
+	if (connection_read(base, RESPONSE_INPUT_MAX, READ_AVAILABLE) == CONNECTION_BROKEN)
 		close_broken(client, connection);
 	else
 		handle_input(client, connection);
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -6,12 +6,18 @@
 #include <sys/epoll.h>
 
 #include "constants.h"
+#include "net/clock.h"
 #include "net/http.h"
+#include "net/http_chunks.h"
+#include "util/log.h"
 #include "util/xalloc.h"
 
 enum {
 	STATUS_BAD_REQUEST = 400,
 	STATUS_PAYLOAD_TOO_LARGE = 413,
+	STATUS_URI_TOO_LONG = 414,
+	STATUS_HEADERS_TOO_LARGE = 431,
+	STATUS_NOT_IMPLEMENTED = 501,
 };
 
 /* Bytes that a request's body may have. The protocol limits the bodies of users and agents;
@@ -21,6 +27,12 @@
 	return connection->side == NET_BACK ? HTTP_REPLY_MAX : HTTP_BODY_MAX;
 }
 
+/* Bytes of input that may wait: a head and a body, and a chunk's line or a trailer. */
+static size_t input_max(const struct server_connection *connection)
+{
+	return HTTP_HEAD_MAX + body_max(connection) + HTTP_HEAD_MAX;
+}
+
 /* Sends as much output as the socket accepts. Closes the connection if it broke, or if its last
  * response is sent completely. */
 static void flush_or_close(struct http_server *server, struct server_connection *connection)
@@ -75,6 +87,23 @@
 		respond(server, connection, status, retry_after_s, body, body_len);
 }
 
+/* Counts a rejected request, and logs at most one in a second. */
+static void log_rejection(struct http_server *server, const struct server_connection *connection,
+			  int status)
+{
+	double now = net_now();
+
+	server->rejected++;
+	server->unlogged++;
+	if (now - server->rejection_logged_at < REJECTION_LINE_INTERVAL_S)
+		return;
+	log_info("http_rejected", "status=%d bytes=%zu rejected=%llu unlogged=%llu", status,
+		 connection->base.input.len, (unsigned long long)server->rejected,
+		 (unsigned long long)server->unlogged - 1);
+	server->rejection_logged_at = now;
+	server->unlogged = 0;
+}
+
 /* Answers a request that is malformed or too large, and closes the connection: it is unknown where
  * the next request would begin. */
 static void reject_request(struct http_server *server, struct server_connection *connection,
@@ -83,6 +112,7 @@
 	/* The response has this body whatever its status is. */
 	static const char body[] = "{\"error\":\"bad request\"}";
 
+	log_rejection(server, connection, status);
 	connection->close_after_response = true;
 	respond(server, connection, status, 0, body, sizeof(body) - 1);
 	server_connection_close(server->connections, connection);
@@ -104,11 +134,67 @@
 	buf_consume(&connection->base.input, request->head_len + body_len);
 	connection->awaits_response = true;
 	connection->close_after_response = request->close;
+	connection->continue_sent = false;
+	connection->decoded_len = 0;
 	server->callbacks->request(server->callback_context, connection->id, connection->side,
 				   request->method, path, body, body_len);
 	free(body);
 }
 
+/* Decodes the chunks of the request's body that have been received. */
+static enum http_result decode_chunks(struct server_connection *connection,
+				      struct http_msg *request)
+{
+	struct buf *input = &connection->base.input;
+	size_t len = input->len - request->head_len;
+	enum http_result result =
+	    http_chunks_decode(buf_contents(input) + request->head_len, &len,
+			       &connection->decoded_len, body_max(connection));
+
+	input->len = request->head_len + len;
+	request->body_len = connection->decoded_len;
+	return result;
+}
+
+/* Parses the request at the start of the input. */
+static enum http_result parse_request(struct server_connection *connection,
+				      struct http_msg *request)
+{
+	const struct buf *input = &connection->base.input;
+	enum http_result result = http_parse(request, buf_contents(input), input->len, HTTP_REQUEST,
+					     body_max(connection));
+
+	return result == HTTP_CHUNKED ? decode_chunks(connection, request) : result;
+}
+
+/* Invites a caller that waits for it to send the body. The connection may be closed afterwards. */
+static void send_continue(struct http_server *server, struct server_connection *connection,
+			  const struct http_msg *request)
+{
+	static const char response[] = "HTTP/1.1 100 Continue\r\n\r\n";
+
+	if (!request->head_len || !request->expects_continue || connection->continue_sent)
+		return;
+	connection->continue_sent = true;
+	buf_add(&connection->base.output, response, sizeof(response) - 1);
+	flush_or_close(server, connection);
+}
+
+/* The status with which a request is rejected that can't be parsed. */
+static int rejection_status(enum http_result result)
+{
+	switch (result) {
+	case HTTP_TOO_LARGE:
+		return STATUS_PAYLOAD_TOO_LARGE;
+	case HTTP_HEAD_TOO_LARGE:
+		return STATUS_HEADERS_TOO_LARGE;
+	case HTTP_UNSUPPORTED:
+		return STATUS_NOT_IMPLEMENTED;
+	default:
+		return STATUS_BAD_REQUEST;
+	}
+}
+
 /*
  * Dispatches the complete requests in the input one at a time, and stops at one that is not
  * answered at once. Requests behind that one stay in the input until more bytes arrive after its
@@ -117,20 +203,21 @@
 static void handle_input(struct http_server *server, struct server_connection *connection)
 {
 	const struct buf *input = &connection->base.input;
+	struct http_msg request;
 
 	while (!connection->base.closed && !connection->awaits_response && input->len) {
-		struct http_msg request;
-		enum http_result result = http_parse(&request, buf_contents(input), input->len,
-						     HTTP_REQUEST, body_max(connection));
+		enum http_result result = parse_request(connection, &request);
 
-		if (result == HTTP_INCOMPLETE)
+		if (result == HTTP_INCOMPLETE) {
+			send_continue(server, connection, &request);
 			return;
-		if (result == HTTP_TOO_LARGE) {
-			reject_request(server, connection, STATUS_PAYLOAD_TOO_LARGE);
+		}
+		if (result != HTTP_OK) {
+			reject_request(server, connection, rejection_status(result));
 			return;
 		}
-		if (result != HTTP_OK || request.path_len >= HTTP_PATH_MAX) {
-			reject_request(server, connection, STATUS_BAD_REQUEST);
+		if (request.path_len >= HTTP_PATH_MAX) {
+			reject_request(server, connection, STATUS_URI_TOO_LONG);
 			return;
 		}
 		dispatch_request(server, connection, &request);
@@ -150,17 +237,20 @@
 {
 	struct connection *base = &connection->base;
 	bool was_empty = base->input.len == 0;
+	enum connection_result result;
 
 	if (!base->closed && (events & EPOLLOUT))
 		flush_or_close(server, connection);
 	if (base->closed || !(events & (EPOLLIN | EPOLLERR | EPOLLHUP)))
 		return;
-	if (connection_read(base, body_max(connection) + HTTP_HEAD_MAX, extent) ==
-	    CONNECTION_BROKEN) {
+	result = connection_read(base, input_max(connection), extent);
+	if (result == CONNECTION_BROKEN) {
 		drop_connection(server, connection);
 		return;
 	}
 	if (was_empty && base->input.len)
 		server_connection_mark_active(server->connections, connection);
 	handle_input(server, connection);
+	if (result == CONNECTION_FULL && !base->closed && base->input.len > input_max(connection))
+		drop_connection(server, connection);
 }
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -19,6 +19,9 @@
 	struct connection_limit *limit;
 	const struct net_callbacks *callbacks;
 	void *callback_context; /* `ctx` of the callbacks */
+	uint64_t rejected;	/* requests rejected as malformed or too large */
+	uint64_t unlogged;	/* of those, the ones since the last line of the log */
+	double rejection_logged_at;
 };
 
 /* Handles the events that epoll reported for a connection. `events` is a mask of EPOLLIN and
--- a/src/net/server_connections.h
+++ b/src/net/server_connections.h
@@ -19,6 +19,8 @@
 	enum net_side side;
 	bool awaits_response;	   /* a request was dispatched and is not yet answered */
 	bool close_after_response; /* close once the response is sent */
+	bool continue_sent;	   /* "100 Continue" was sent for the request under way */
+	size_t decoded_len; /* bytes of its chunked body that are decoded, see http_chunks.h */
 	/* When the connection was accepted, a request began to arrive or a response was written,
 	 * whichever was last. */
 	double active_at;
