A quote behind the outermost value makes a text malformed

The parser now checks that only blanks follow the end of the outermost value. unit.json failed before on two of six new texts, and passes.

--- a/src/wire/json_parser.c
+++ b/src/wire/json_parser.c
@@ -16,6 +16,7 @@
 #include "util/xalloc.h"
 
 #define DECIMAL 10
+#define JSON_BLANKS " \t\r\n"
 
 /* What a callback of yajl returns. */
 enum { STOP_PARSING, GO_ON };
@@ -279,6 +280,16 @@
     .yajl_end_array = on_end,
 };
 
+/* Whether only blanks follow the outermost value. yajl takes the beginning of a token there, such
+ * as a quote, for one that is incomplete, and accepts it. */
+static bool ends_after_root(const struct parser *parser)
+{
+	for (size_t i = parser->previous_end; i < parser->len; i++)
+		if (!memchr(JSON_BLANKS, parser->text[i], sizeof(JSON_BLANKS) - 1))
+			return false;
+	return true;
+}
+
 /* Whether the text is JSON. */
 static bool parse_text(struct parser *parser)
 {
@@ -286,7 +297,7 @@
 	    yajl_parse(parser->yajl, (const unsigned char *)parser->text, parser->len);
 
 	return status == yajl_status_ok && yajl_complete_parse(parser->yajl) == yajl_status_ok &&
-	       parser->root;
+	       parser->root && ends_after_root(parser);
 }
 
 /* Releases the incomplete value of a text that is not JSON, and returns where parsing failed. */
--- a/tests/unit/test_json.c
+++ b/tests/unit/test_json.c
@@ -19,6 +19,12 @@
 } malformed[] = {
     {"NaN", "{\"a\":NaN}"},
     {"trailing text", "{\"a\":1}x"},
+    {"quote behind the value", "{}\""},
+    {"incomplete text behind the value", "[] \"a"},
+    {"incomplete literal behind the value", "{}tru"},
+    {"sign behind the value", "{}\n-"},
+    {"number behind the value", "{}1"},
+    {"NUL behind the value", "{}\\u0000"},
     {"empty text", ""},
     {"blanks only", " \n"},
     {"a number", "1"},
