Large amounts in a description are no reason to call it malformed

What callers saw: 400 for a job whose deadline, estimate or another amount was 1e9 or more, a limit of our own making (WIRE_NUMBER_MAX). The protocol limits no amount: a deadline in the far future is sound, and more CPUs than any machine has is 422, "can never run".

No machine type and no team has as much.

--- a/src/constants.h
+++ b/src/constants.h
@@ -67,6 +67,8 @@
 /* An amount of this size or more in a message is a mistake: 30 years in seconds, or a billion CPUs.
  */
 #define WIRE_NUMBER_MAX 1e9
+/* What is kept of a larger amount in a job's description. */
+#define WIRE_NUMBER_LARGEST (WIRE_NUMBER_MAX - 1)
 
 /* Bytes of the longest report that is cached, to recognise repetitions of the report: a report of
  * this length has some ten tasks. */
--- a/src/wire/job_codec.c
+++ b/src/wire/job_codec.c
@@ -90,7 +90,7 @@
 
 	for (size_t i = 0; i < ARRAY_LENGTH(amounts); i++) {
 		*why = amounts[i].key;
-		if (field_number(object, amounts[i].key, amounts[i].out))
+		if (field_amount(object, amounts[i].key, amounts[i].out))
 			return -1;
 	}
 	return 0;
@@ -132,7 +132,7 @@
 	*why = W_DEADLINE;
 	spec->deadline_s = -1;
 	if (!field_is_absent(object, W_DEADLINE) &&
-	    field_number(object, W_DEADLINE, &spec->deadline_s))
+	    field_amount(object, W_DEADLINE, &spec->deadline_s))
 		return -1;
 	*why = W_MACHINE_TYPES;
 	return field_is_absent(object, W_MACHINE_TYPES) ? 0 : decode_types(object, spec);
--- a/src/wire/json_fields.c
+++ b/src/wire/json_fields.c
@@ -35,6 +35,15 @@
 	return json_is_number(value) && isfinite(*out) ? 0 : -1;
 }
 
+int field_amount(const json_t *object, const char *key, double *out)
+{
+	if (field_finite_number(object, key, out))
+		return -1;
+	if (*out >= WIRE_NUMBER_MAX)
+		*out = WIRE_NUMBER_LARGEST;
+	return *out >= 0 ? 0 : -1;
+}
+
 int field_number(const json_t *object, const char *key, double *out)
 {
 	if (field_finite_number(object, key, out))
--- a/src/wire/json_fields.h
+++ b/src/wire/json_fields.h
@@ -39,6 +39,10 @@
 /* Reads a number of any sign. */
 int field_finite_number(const json_t *object, const char *key, double *out);
 
+/* Reads a number of at least 0. A number that is not below WIRE_NUMBER_MAX is read as
+ * WIRE_NUMBER_LARGEST. */
+int field_amount(const json_t *object, const char *key, double *out);
+
 /* Reads a number from 0 to below WIRE_NUMBER_MAX. */
 int field_number(const json_t *object, const char *key, double *out);
 
