The cache of reports does not take a number with a leading zero for one of JSON

Found by the search for other paths that judge JSON on their own: the cache recognised a report by its bytes with "compasso":089 and it got 200, while the parser refuses it. One check in one path and not in the other; harmless for an agent that writes JSON. The cache now leaves such a report to the parser. unit.report_cache failed before ("leading zero: got 89, expected 0") and passes.

--- a/src/core/agents/report_cache.c
+++ b/src/core/agents/report_cache.c
@@ -63,8 +63,8 @@
 	return c >= '0' && c <= '9';
 }
 
-/* Reads the digits at the start of `text`. Returns false if there are none, or the number is too
- * large. */
+/* Reads the digits at the start of `text`. Returns false if there are none, if they are no number
+ * in JSON because of a leading zero, or if the number is too large. */
 static bool parse_number(const char *text, const char *end, struct number_field *field)
 {
 	const char *digit = text;
@@ -77,7 +77,7 @@
 	}
 	field->digits.text = text;
 	field->digits.len = (size_t)(digit - text);
-	return field->digits.len > 0;
+	return field->digits.len > 0 && (field->digits.len == 1 || *text != '0');
 }
 
 static const char *part_end(const struct text_part *part)
--- a/tests/unit/test_report_cache.c
+++ b/tests/unit/test_report_cache.c
@@ -90,6 +90,7 @@
 	    {"no number", REPORT_HEAD REPORT_TAIL, 0},
 	    {"negative number", REPORT_HEAD "-9" REPORT_TAIL, 0},
 	    {"fraction", REPORT_HEAD "9.5" REPORT_TAIL, 0},
+	    {"leading zero", REPORT_HEAD "089" REPORT_TAIL, 0},
 	    {"number out of range", REPORT_HEAD "99999999999999999999999" REPORT_TAIL, 0},
 	};
 
