Long names are no reason to call a description malformed

What callers saw: 400 for a job whose class, team, image, zone or machine type had a name of 64 bytes or more, a limit of our own making (NAME_MAX_LEN). The protocol limits no name; images named by a registry's path are often longer.

These names are only compared: the class with the objectives, the image with the images that a machine has fetched, team, zone and types with those of the settings and the catalog. A long team is now 422 "unknown team", a long zone 422 "fits no allowed machine", as the protocol says.

Not changed: names that are sent on to the cloud (types, zones and machines of its catalog and lists) must still be shorter than 64 bytes, and ids shorter than 48.

--- a/src/wire/job_codec.c
+++ b/src/wire/job_codec.c
@@ -7,6 +7,7 @@
 #include "wire/json_fields.h"
 #include "wire/json_text.h"
 #include "wire/names.h"
+#include "wire/short_name.h"
 
 static const char *const kind_names[] = {
     [JOB_ARRAY] = W_KIND_ARRAY, [JOB_GANG] = W_KIND_GANG, [JOB_SERVICE] = W_KIND_SERVICE};
@@ -45,7 +46,7 @@
 		return -1;
 	for (size_t i = 0; i < ARRAY_LENGTH(names); i++) {
 		*why = names[i].key;
-		if (field_nonempty_text(object, names[i].key, names[i].out, NAME_MAX_LEN))
+		if (field_name(object, names[i].key, names[i].out))
 			return -1;
 	}
 	return 0;
@@ -116,18 +117,27 @@
 static int decode_types(const json_t *object, struct job_spec *spec)
 {
 	const json_t *types = json_object_get(object, W_MACHINE_TYPES);
+	const json_t *type;
+	size_t i;
 
 	if (!json_is_array(types) || !json_array_size(types))
 		return -1;
-	return names_decode(types, &spec->types);
+	json_array_foreach (types, i, type) {
+		char name[NAME_MAX_LEN] = "";
+
+		if (json_is_string(type))
+			short_name_copy(name, json_string_value(type));
+		if (name_list_add(&spec->types, name))
+			return -1;
+	}
+	return 0;
 }
 
 /* Decodes the optional fields of a job description. */
 static int decode_optional(const json_t *object, struct job_spec *spec, const char **why)
 {
 	*why = W_ZONE;
-	if (!field_is_absent(object, W_ZONE) &&
-	    field_nonempty_text(object, W_ZONE, spec->zone, sizeof(spec->zone)))
+	if (!field_is_absent(object, W_ZONE) && field_name(object, W_ZONE, spec->zone))
 		return -1;
 	*why = W_DEADLINE;
 	spec->deadline_s = -1;
--- a/src/wire/json_fields.c
+++ b/src/wire/json_fields.c
@@ -6,6 +6,7 @@
 
 #include "constants.h"
 #include "util/xalloc.h"
+#include "wire/short_name.h"
 
 int field_text(const json_t *object, const char *key, char *out, size_t capacity)
 {
@@ -24,6 +25,16 @@
 	return *out ? 0 : -1;
 }
 
+int field_name(const json_t *object, const char *key, char out[NAME_MAX_LEN])
+{
+	const char *name = field_string(object, key);
+
+	if (!name || !*name)
+		return -1;
+	short_name_copy(out, name);
+	return 0;
+}
+
 int field_finite_number(const json_t *object, const char *key, double *out)
 {
 	const json_t *value = json_object_get(object, key);
--- a/src/wire/json_fields.h
+++ b/src/wire/json_fields.h
@@ -36,6 +36,9 @@
 /* Like field_text, but the text must not be empty. */
 int field_nonempty_text(const json_t *object, const char *key, char *out, size_t capacity);
 
+/* Reads a text that must not be empty. One that is too long is shortened, see short_name.h. */
+int field_name(const json_t *object, const char *key, char out[NAME_MAX_LEN]);
+
 /* Reads a number of any sign. */
 int field_finite_number(const json_t *object, const char *key, double *out);
 
