The cursor over open records does not take a key that is no text for one

Found by the search for readers of the state service that trust a field's type: a page whose last item has a key that is not a text would have made the cursor "(null)" and so left out records. The state service sends none; not seen to fail.

--- a/src/core/api/job_index_reads.c
+++ b/src/core/api/job_index_reads.c
@@ -70,16 +70,16 @@
 
 /* --- reads of pages of open records --- */
 
-/* Returns the last key of the page of records in `document`; an empty string if the page is
- * empty. */
+/* Returns the last key of the page of records in `document`; an empty string if the page is empty
+ * or its last item has no readable key. */
 static const char *last_key(json_t *document)
 {
 	json_t *items = json_object_get(document, W_ITEMS);
 	size_t count = json_array_size(items);
 	json_t *last = json_array_get(items, count ? count - 1 : 0);
-	json_t *key = json_object_get(last, W_KEY);
+	const char *key = json_string_value(json_object_get(last, W_KEY));
 
-	return key ? json_string_value(key) : "";
+	return key ? key : "";
 }
 
 /*
