--- a/src/constants.h
+++ b/src/constants.h
@@ -10,7 +10,7 @@
 #ifndef PLOVERLOFT_CONSTANTS_H
 #define PLOVERLOFT_CONSTANTS_H
 
-#define PLOVERLOFT_VERSION "0.6.4"
+#define PLOVERLOFT_VERSION "0.6.5"
 
 /* --- network and event loop --- */
 
