Held starts and cancellations against real processes

Requests in pieces are now sent without Nagle's algorithm, so that they arrive in pieces (request_spellings).

--- a/tests/loopback/clients.c
+++ b/tests/loopback/clients.c
@@ -71,9 +71,12 @@
 	if (machine->report_sequence != (id & CALL_SEQUENCE_MASK))
 		return;
 	loopback_note_answered_start(loopback, index, body);
+	status = status > 0 ? status : STATUS_UNAVAILABLE;
+	body = *body ? body : "{}";
+	if (loopback_hold_answer(loopback, index, status, body))
+		return;
 	standin_agent_handle_answer(&loopback->standin, index, machine->report_incarnation,
-				    machine->report_sequence,
-				    status > 0 ? status : STATUS_UNAVAILABLE, *body ? body : "{}");
+				    machine->report_sequence, status, body);
 }
 
 /* --- users --- */
--- a/tests/loopback/loopback.c
+++ b/tests/loopback/loopback.c
@@ -211,6 +211,7 @@
 
 	while ((now = net_now()) < until) {
 		standin_tick(&loopback->standin, now);
+		loopback_deliver_held(loopback, now);
 		net_poll(loopback->net, ITERATION_WAIT_S);
 		for (int i = 0; i < LOOPBACK_SERVERS; i++)
 			net_poll(loopback->servers[i].net, 0);
@@ -250,7 +251,9 @@
 	for (int i = 0; i < LOOPBACK_SERVERS; i++)
 		net_free(loopback->servers[i].net);
 	net_free(loopback->net);
-	for (int i = 0; i < LOOPBACK_MACHINES; i++)
+	for (int i = 0; i < LOOPBACK_MACHINES; i++) {
 		free(loopback->newest_starts[i].body);
+		free(loopback->held_answers[i].body);
+	}
 	standin_free(&loopback->standin);
 }
--- a/tests/loopback/loopback.h
+++ b/tests/loopback/loopback.h
@@ -57,6 +57,14 @@
 	char *body;			/* owned; NULL: there was none */
 };
 
+/* An answer to an agent's newest report that has not reached the agent yet. */
+struct loopback_held_answer {
+	double deliver_at; /* steady time */
+	int status;
+	uint64_t incarnation, sequence; /* of the report */
+	char *body;			/* owned; NULL: there is none */
+};
+
 struct loopback {
 	struct standin standin;
 	struct conf conf;
@@ -70,6 +78,8 @@
 	bool known_done[LOOPBACK_JOBS];	      /* by job number: a user saw the job as done */
 	/* The newest message with a start that each machine's agent got. */
 	struct loopback_start newest_starts[LOOPBACK_MACHINES];
+	double answers_held_until; /* steady time; see loopback_hold_answers */
+	struct loopback_held_answer held_answers[LOOPBACK_MACHINES];
 };
 
 /* --- setup, event loop and teardown: loopback.c --- */
@@ -115,6 +125,19 @@
 void loopback_repeat_start(struct loopback *loopback, int machine,
 			   const struct loopback_start *start);
 
+/* --- answers that are held up: held_answers.c --- */
+
+/* For this many seconds, each answer to a report reaches its agent nearly 4 s after the report,
+ * which is how long agents wait. */
+void loopback_hold_answers(struct loopback *loopback, double seconds);
+
+/* Keeps the answer to the machine's newest report for later, if answers are held. Returns whether
+ * it does. */
+bool loopback_hold_answer(struct loopback *loopback, int machine, int status, const char *body);
+
+/* Delivers the held answers that are due. */
+void loopback_deliver_held(struct loopback *loopback, double now);
+
 /* --- controllers: controllers.c --- */
 
 /* Writes the controller's settings file and starts it as a process of the program at this path. */
--- a/tests/loopback/raw_http.c
+++ b/tests/loopback/raw_http.c
@@ -4,6 +4,7 @@
 #include <arpa/inet.h>
 #include <errno.h>
 #include <fcntl.h>
+#include <netinet/tcp.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -19,10 +20,12 @@
 	struct sockaddr_in to = {.sin_family = AF_INET};
 	const char *colon = strchr(address, ':');
 	int fd = socket(AF_INET, SOCK_STREAM, 0);
+	int at_once = 1;
 
 	to.sin_port = htons((uint16_t)atoi(colon + 1));
 	to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
 	if (fd < 0 || connect(fd, (struct sockaddr *)&to, sizeof(to)) ||
+	    setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &at_once, sizeof(at_once)) ||
 	    fcntl(fd, F_SETFL, O_NONBLOCK)) {
 		fprintf(stderr, "cannot connect to %s: %s\n", address, strerror(errno));
 		return -1;
@@ -46,8 +49,8 @@
 		if (taken < 0 && errno != EAGAIN)
 			return;
 		sent += taken > 0 ? (size_t)taken : 0;
-		if (taken < 0 || piece < len)
-			loopback_run(loopback, 0);
+		if (taken < 0)
+			loopback_run(loopback, STEP_S);
 	}
 }
 
