--- a/src/core/agents/agent_restart.c
+++ b/src/core/agents/agent_restart.c
@@ -21,7 +21,7 @@
 	machine->agent.restarted = true;
 	machine->agent.reachable = false;
 	machine->agent.unreachable_since = core->now;
-	write_queue_request_token(core, 0);
+	write_queue_request_token(core);
 }
 
 /* Resets the agent's state to that of an agent that has sent no message yet. */
--- a/src/core/agents/direct_commands.c
+++ b/src/core/agents/direct_commands.c
@@ -108,7 +108,7 @@
 		return;
 	}
 	machine->commands.awaits_token = true;
-	write_queue_request_token(core, 0);
+	write_queue_request_token(core);
 }
 
 static void send_commands(struct core *core, struct machine *machine)
--- a/src/core/agents/long_poll.c
+++ b/src/core/agents/long_poll.c
@@ -6,7 +6,8 @@
 #include "core/agents/redirect.h"
 #include "core/state.h"
 
-double long_poll_max_s(const struct core *core)
+/* Returns the longest time in seconds for which the answer to a heartbeat may wait. */
+static double wait_max_s(const struct core *core)
 {
 	return fmin(LONG_POLL_MAX_S, LONG_POLL_MAX_REPORTS * core->conf->report_s);
 }
@@ -66,7 +67,7 @@
 	struct machine_long_poll *poll = &machine->long_poll;
 
 	poll->connection = connection;
-	poll->until = core->now + long_poll_max_s(core);
+	poll->until = core->now + wait_max_s(core);
 	DL_APPEND2(core->agents.long_polls, machine, long_poll.prev, long_poll.next);
 	HASH_ADD(hh_connection, core->agents.long_polls_by_connection, long_poll.connection,
 		 sizeof(poll->connection), machine);
--- a/src/core/agents/long_poll.h
+++ b/src/core/agents/long_poll.h
@@ -3,7 +3,7 @@
  *
  * Starts are sent in answers to heartbeats only (docs/failure-model.md). A start that becomes due
  * between two heartbeats would have to wait for the next one, so the leader delays the answer while
- * a start may become due. The wait is bounded (`long_poll_max_s`). It ends at once when a newer
+ * a start may become due. The wait is bounded (`LONG_POLL_MAX_S`). It ends at once when a newer
  * heartbeat of the machine is applied, the machine is to be deleted, its agent was restarted, the
  * connection is closed or the term ends.
  */
@@ -15,8 +15,6 @@
 
 #include "core/model/machine.h"
 
-/* Returns the longest time in seconds for which the answer to a heartbeat may wait. */
-double long_poll_max_s(const struct core *core);
 /* True if the answer to a heartbeat of the machine may wait: a start may become due soon, and the
  * answers that wait already hold few enough sockets. */
 bool long_poll_is_useful(const struct core *core, const struct machine *machine);
--- a/src/core/model/machine.c
+++ b/src/core/model/machine.c
@@ -171,7 +171,8 @@
 	return machine->agent.heartbeat_sequence > start_sequence;
 }
 
-bool machine_has_many_unbound_tasks(const struct machine *machine)
+/* True if the machine's agent lists MACHINE_UNBOUND_TASKS_MANY tasks or more that are not bound. */
+static bool has_many_unbound_tasks(const struct machine *machine)
 {
 	return machine->agent.unbound_task_count >= MACHINE_UNBOUND_TASKS_MANY;
 }
@@ -180,7 +181,7 @@
 {
 	size_t listed = machine->agent.unbound_task_count + (size_t)machine->binding_count;
 
-	if (!machine_has_many_unbound_tasks(machine))
+	if (!has_many_unbound_tasks(machine))
 		return JOB_TASKS_MAX;
 	return listed < MACHINE_LISTED_TASKS_MAX ? (uint32_t)(MACHINE_LISTED_TASKS_MAX - listed)
 						 : 0;
--- a/src/core/model/machine.h
+++ b/src/core/model/machine.h
@@ -237,8 +237,6 @@
  * does not prove its end.
  */
 bool machine_start_is_void(const struct machine *machine, uint64_t start_sequence);
-/* True if the machine's agent lists MACHINE_UNBOUND_TASKS_MANY tasks or more that are not bound. */
-bool machine_has_many_unbound_tasks(const struct machine *machine);
 /* The number of further tasks that may be bound to the machine so that its report does not grow
  * beyond what is accepted, because of ended tasks that the agent may not forget yet. */
 uint32_t machine_listable_tasks(const struct machine *machine);
--- a/src/core/records/write_queue.c
+++ b/src/core/records/write_queue.c
@@ -171,14 +171,9 @@
 			    limits_write_rps(core) * WRITE_SHARE_LEADER);
 }
 
-void write_queue_request_token(struct core *core, double delay_s)
+void write_queue_request_token(struct core *core)
 {
-	struct write_queue *queue = &core->write_queue;
-	double due_at = core->now + delay_s;
-
-	if (!queue->token_renewal_requested || due_at < queue->token_renewal_due_at)
-		queue->token_renewal_due_at = due_at;
-	queue->token_renewal_requested = true;
+	core->write_queue.token_renewal_requested = true;
 }
 
 /* Migrations and deletes have no deadline: they are sent while more than half of the changes that
@@ -207,7 +202,7 @@
 {
 	const struct write_queue *queue = &core->write_queue;
 
-	return (queue->token_renewal_requested && core->now >= queue->token_renewal_due_at &&
+	return (queue->token_renewal_requested &&
 		core->now - queue->token_renewal_sent_at >= TOKEN_RENEW_INTERVAL_S) ||
 	       format_raise_due(core);
 }
@@ -226,7 +221,7 @@
 	if (queue->write_limiter.tokens < 1)
 		return;
 	if (tombstones_need_new_token(core))
-		write_queue_request_token(core, 0);
+		write_queue_request_token(core);
 	if (token_renewal_is_due(core))
 		transaction_send_token_renewal(core);
 	else if (write_is_due(core))
--- a/src/core/records/write_queue.h
+++ b/src/core/records/write_queue.h
@@ -46,8 +46,6 @@
 	/* Limits the rate of changes, deletes included; see limits_write_rps. */
 	struct rate_limiter write_limiter;
 	bool token_renewal_requested; /* a new fencing token is requested */
-	/* Steady seconds; the requested renewal is not sent before this time. */
-	double token_renewal_due_at;
 	/* Steady seconds; when a renewal of the token was last sent. */
 	double token_renewal_sent_at;
 };
@@ -70,11 +68,8 @@
  * caller frees or replaces the chunks.
  */
 void write_queue_discard_chunks(struct core *core);
-/*
- * Requests a new fencing token, for which the leader's key is written again. The renewal is due
- * `delay_s` from now, or when a renewal that was requested earlier is due, whichever is earlier.
- */
-void write_queue_request_token(struct core *core, double delay_s);
+/* Requests a new fencing token, for which the leader's key is written again. */
+void write_queue_request_token(struct core *core);
 /* Sends the next transaction if one is due, or sends the transaction in flight again if its retry
  * is due. */
 void write_queue_tick(struct core *core);
