--- a/src/wire/json_parser.h
+++ b/src/wire/json_parser.h
@@ -3,7 +3,8 @@
  * state service. The text must be JSON by RFC 8259. A value that can't be kept, though it is legal,
  * is no reason to refuse the message: the receiver must ignore the fields that it does not know,
  * whatever they hold. Such a value is replaced by the unreadable value, an empty object, which
- * every function of json_fields.h refuses:
+ * the functions of json_fields.h refuse, except that those with a fallback take it for a missing
+ * field:
  * - numbers too large for a double;
  * - texts that UTF-8 or a C string can't hold: an escaped lone surrogate or NUL;
  * - values nested deeper than JSON_NESTING_MAX;
